Add the messages front, a scenario language with tests, and advised absences

Checked: the core passes on Action::time; State::end in rules.cpp never set it, so neither a refusal nor a failure told when to come back. Now: State::come_back advises a share of the longest absence that grows with what is shed.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -37,7 +37,7 @@
   Settings settings;
   // What the settings say that is no decision's business.
   std::vector<std::string> classes, tenants, zones, kinds, report_fields;
-  Time keepalive = 5'000'000, dial_limit = 120'000;
+  Time keepalive = 5'000'000, dial_limit = 120'000, silence_limit = 3'000'000;
   std::string known;  // JSON: discovery's list, as this router last held it
   OperatorFile added;
 };
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -124,6 +124,7 @@
   Surroundings around_;
   Router router_;
   std::uint32_t most_hops_;
+  Time come_back_;  // advised by the core's own answers
   std::unordered_map<RequestId, Exchange> exchanges_;
   std::multimap<Time, Alarm> alarms_;
   Counters counters_;
--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -12,6 +12,10 @@
 
 }  // namespace
 
+bool turned_away(const net::Head& answer) {
+  return (answer.status == 503 || answer.status == 504) && answer.find("X-Not-Processed") != nullptr;
+}
+
 // A content is a text, or a list of parts of which the texts count.
 std::string content_text(Json content) {
   std::string_view plain;
--- a/src/fronts/chat.hpp
+++ b/src/fronts/chat.hpp
@@ -6,6 +6,9 @@
 
 namespace sprucecourse::fronts {
 
+// Turned away by the rules that all egress targets share.
+bool turned_away(const net::Head& answer);
+
 std::string content_text(Json content);
 void read_common(Json json, Chat& chat);
 void read_turns(Json json, Chat& chat);
--- a/src/fronts/dialect.hpp
+++ b/src/fronts/dialect.hpp
@@ -69,6 +69,8 @@
   virtual std::string write_chat(const Chat& chat) const = 0;
   virtual std::unique_ptr<EventReader> reader() const = 0;
   virtual std::unique_ptr<EventWriter> writer(std::string_view request_id) const = 0;
+  // Does this answer of an egress target prove that the request was never begun?
+  virtual bool never_begun(const net::Head& answer) const = 0;
   virtual ErrorAnswer error(Refusal refusal, std::string_view message) const = 0;
 };
 
--- a/src/fronts/messages.cpp
+++ b/src/fronts/messages.cpp
@@ -204,6 +204,10 @@
     return std::make_unique<Writer>(request_id);
   }
 
+  bool never_begun(const net::Head& answer) const override {
+    return turned_away(answer) || answer.status == 429 || answer.status == 529;
+  }
+
   ErrorAnswer error(Refusal refusal, std::string_view message) const override {
     const auto [status, type] = [&]() -> std::pair<int, const char*> {
       switch (refusal) {
--- a/src/fronts/platform.cpp
+++ b/src/fronts/platform.cpp
@@ -114,6 +114,8 @@
   std::unique_ptr<EventReader> reader() const override { return std::make_unique<Reader>(); }
   std::unique_ptr<EventWriter> writer(std::string_view) const override { return std::make_unique<Writer>(); }
 
+  bool never_begun(const net::Head& answer) const override { return turned_away(answer); }
+
   ErrorAnswer error(Refusal refusal, std::string_view message) const override {
     const auto [status, type] = [&]() -> std::pair<int, const char*> {
       switch (refusal) {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,12 +9,13 @@
 namespace sprucecourse::net {
 namespace {
 
-constexpr Time kIdleLimit = 60'000'000;   // between the requests of a connection
-constexpr Time kReadLimit = 10'000'000;   // for a request, from its first byte
-constexpr Time kWriteLimit = 10'000'000;  // for a client to take what was written
-constexpr Time kCloseLimit = 1'000'000;   // for the last bytes before a connection is closed
-constexpr Time kNewComers = 500'000;      // after SIGTERM new connections still come this long
-constexpr Time kSweepEvery = 100'000;     // idle connections are closed from then on
+constexpr Time kIdleLimit = 60'000'000;      // between the requests of a connection
+constexpr Time kReadLimit = 10'000'000;      // for a request, from its first byte
+constexpr Time kWriteLimit = 10'000'000;     // for a client to take what was written
+constexpr Time kCloseLimit = 1'000'000;      // for the last bytes before a connection is closed
+constexpr Time kNewComers = 500'000;         // after SIGTERM new connections still come this long
+constexpr Time kSweepEvery = 100'000;        // idle connections are closed from then on
+constexpr Time kCrowdedAbsence = 1'000'000;  // advised when there is no memory for a request
 constexpr std::size_t kCongested = 256 * 1024;
 constexpr std::size_t kMostAhead = 64 * 1024;          // bytes read while an answer is still going out
 constexpr std::size_t kMostBodies = 64 * 1024 * 1024;  // of all requests in work
@@ -168,7 +169,7 @@
     request_id_ = *head.find("X-Request-ID");
     if (owner_.held_bytes_ + call->body->size() > kMostBodies) {
       ++owner_.counters_.crowded;
-      return shed(0);
+      return shed(kCrowdedAbsence);
     }
     held_ = call->body->size();
     owner_.held_bytes_ += held_;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -199,9 +199,7 @@
       if (head.status == 200 && report_.empty()) report_ = owner_.read_report(body_);
       finish(head.status == 200 ? Outcome::served : Outcome::error, keep);
     } else {
-      const bool never =
-          (head.status == 503 || head.status == 504) && head.find("X-Not-Processed") != nullptr;
-      finish(never ? Outcome::full : Outcome::error, keep);
+      finish(dialect_.never_begun(head) ? Outcome::full : Outcome::error, keep);
     }
   }
 
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,116 @@
+#include "node.hpp"
+
+#include <algorithm>
+
+#include "net/log.hpp"
+
+namespace sprucecourse {
+namespace {
+
+constexpr std::size_t kReserve = 32;      // descriptors for all but clients and egress targets
+constexpr Time kReadyAnyway = 5'000'000;  // ready without a list after this, so that clients get answers
+constexpr Time kQuiet = 3'000'000;        // winding down: without clients for this long, the router ends
+
+// Clients and egress targets share the descriptors evenly: an exchange needs one of each.
+std::size_t connections_each() {
+  const std::size_t limit = net::descriptors().limit;
+  return std::max<std::size_t>(1, (limit - std::min(limit / 4, kReserve)) / 2);
+}
+
+}  // namespace
+
+const fronts::Dialect& dialect_named(const std::string& name) {
+  const auto* found = fronts::dialect_named(name);
+  if (found == nullptr) throw BadConfig("operator's file: no such dialect: " + name);
+  return *found;
+}
+
+Node::Node(const Config& config)
+    : config_(config),
+      names_{config.classes, config.tenants},
+      routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds},
+              [this](DirectoryScope scope, std::span<const ReplicaListing> entries) {
+                core_->listed(scope, entries);
+              }),
+      peers_({.listen = config.peer_listen, .all = config.peers_all, .peers = config.peers},
+             [this](std::uint32_t rank, std::span<const std::uint8_t> message) {
+               core_->peer_said(rank, message);
+             }),
+      servers_(server_options(), routes_),
+      core_(std::make_unique<core::Exchanges>(config.settings,
+                                              core::Surroundings{clock_, servers_, routes_, peers_})) {
+  clock_.wake = [this] { core_->wake(); };
+  servers_.serve(*core_);
+  if (!config.known.empty()) {
+    simdjson::dom::parser parser;
+    simdjson::dom::element known;
+    if (parser.parse(config.known).get(known) == simdjson::SUCCESS) routes_.start_from(known);
+  }
+  open_front(config.listen, fronts::platform());
+  if (!config.added.messages_listen.empty()) open_front(config.added.messages_listen, fronts::messages());
+}
+
+net::Servers::Options Node::server_options() const {
+  net::Servers::Options options;
+  options.keepalive = config_.keepalive;
+  options.dial_limit = config_.dial_limit;
+  options.silence_limit = config_.silence_limit;
+  options.report_names = config_.report_fields;
+  options.most_connections = connections_each();
+  options.dialect = &dialect_named(config_.added.target_dialect);
+  for (const auto& [uid, name] : config_.added.targets) options.by_name[uid] = &dialect_named(name);
+  return options;
+}
+
+void Node::open_front(const std::string& address, const fronts::Dialect& speaks) {
+  fronts_.push_back(
+      std::make_unique<net::Clients>(net::Clients::Options{.address = address,
+                                                           .dialect = &speaks,
+                                                           .most_connections = connections_each(),
+                                                           .ready = [this] { return ready(); }},
+                                     names_, *core_));
+}
+
+bool Node::ready() const { return routes_.size() > 0 || net::now_us() - started_ > kReadyAnyway; }
+
+void Node::wind_down(std::function<void()> done) {
+  done_ = std::move(done);
+  for (auto& front : fronts_) front->wind_down();
+  quiet_since_ = net::now_us();
+  watch_quiet();
+}
+
+void Node::watch_quiet() {
+  quiet_.start(kQuiet / 10, [this] {
+    const bool busy = core_->open() > 0 || std::any_of(fronts_.begin(), fronts_.end(),
+                                                       [](auto& f) { return f->connections() > 0; });
+    if (busy) quiet_since_ = net::now_us();
+    if (net::now_us() - quiet_since_ >= kQuiet) return done_();
+    watch_quiet();
+  });
+}
+
+void Node::print_counters(std::ostream& line) const {
+  const auto& c = core_->counters();
+  line << "taken=" << c.taken << " open=" << core_->open() << " hops=" << c.hops << " served=" << c.served
+       << " shed=" << c.shed << " failed=" << c.failed << " timed_out=" << c.timed_out
+       << " broken=" << c.broken << " gone=" << c.gone;
+  static constexpr const char* outcomes[] = {"served",         "error", "full",      "timed_out",
+                                             "connect_failed", "reset", "cancelled", "not_sent"};
+  for (const auto& [outcome, count] : c.outcomes) {
+    line << " hop_" << outcomes[static_cast<int>(outcome)] << "=" << count;
+  }
+  for (const auto& front : fronts_) {
+    const auto& f = front->counters();
+    line << " accepted=" << f.accepted << " bad=" << f.bad << " health=" << f.health
+         << " crowded=" << f.crowded << " clients=" << front->connections();
+  }
+  const auto& s = servers_.counters();
+  line << " opened=" << s.opened << " reused=" << s.reused << " lines=" << servers_.connections()
+       << " silent=" << s.silent << " no_descriptor=" << s.no_descriptor
+       << " drained_meanwhile=" << s.drained_meanwhile << " probes=" << s.probes;
+  const auto& d = routes_.counters();
+  line << " list_calls=" << d.calls << " list_failures=" << d.failures << " list_entries=" << d.changes;
+}
+
+}  // namespace sprucecourse
--- /dev/null
+++ b/src/node.hpp
@@ -0,0 +1,68 @@
+// A whole router: core, fronts and sockets wired together from one configuration.
+#pragma once
+
+#include <memory>
+#include <ostream>
+#include <vector>
+
+#include "config.hpp"
+#include "core/exchanges.hpp"
+#include "net/clients.hpp"
+#include "net/loop.hpp"
+#include "net/peers.hpp"
+#include "net/route_table.hpp"
+#include "net/servers.hpp"
+
+namespace sprucecourse {
+
+// GLib's loop as the core sees time.
+class LoopClock : public core::Clock {
+ public:
+  Time now() const override { return net::now_us(); }
+  void wake_at(Time when) override {
+    timer_.start(when - now(), [this] { wake(); });
+  }
+  std::function<void()> wake;
+
+ private:
+  net::Timer timer_;
+};
+
+// The dialect of that name; throws BadConfig.
+const fronts::Dialect& dialect_named(const std::string& name);
+
+class Node {
+ public:
+  // Serves from then on, as long as GLib's main loop runs. Throws BadConfig or NetError.
+  explicit Node(const Config& config);
+
+  // A planned restart: all that comes is still taken and answered. `done` is called once nobody is left.
+  void wind_down(std::function<void()> done);
+
+  // One line of name=value.
+  void print_counters(std::ostream& out) const;
+
+  const core::Exchanges& core() const { return *core_; }
+  const net::Clients& front(std::size_t index) const { return *fronts_.at(index); }
+  std::size_t targets() const { return routes_.size(); }
+
+ private:
+  net::Servers::Options server_options() const;
+  void open_front(const std::string& address, const fronts::Dialect& speaks);
+  bool ready() const;
+  void watch_quiet();
+
+  Config config_;
+  fronts::Names names_;
+  LoopClock clock_;
+  net::RouteTable routes_;
+  net::Peers peers_;
+  net::Servers servers_;
+  std::unique_ptr<core::Exchanges> core_;
+  std::vector<std::unique_ptr<net::Clients>> fronts_;
+  std::function<void()> done_;
+  net::Timer quiet_;
+  Time started_ = net::now_us(), quiet_since_ = 0;
+};
+
+}  // namespace sprucecourse
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,22 +39,23 @@
 constexpr double kJammed = 0.5;            // part shed above which silence proves nothing of a replica
 constexpr double kSlowPart = 0.6;          // of the aim; a first token later than this is slow
 constexpr double kSpillUp = 0.04;          // more of the sessions leave the zone with each slow answer ...
-constexpr double kSpillDown = 0.006;  // ... fewer with each other one: settles at about one slow in eight
-constexpr double kMaxSpill = 0.7;     // of the sessions leave the zone at the most
-constexpr double kPaceUp = 0.006;     // a kind's learned pace recovers by this with each good answer ...
-constexpr double kPaceDown = 0.04;    // ... and falls by this with each slow one
-constexpr double kMinPace = 0.2;      // no kind is trusted with less than this of its listed weight
-constexpr double kShedUp = 0.08;      // more is shed with each late answer ...
-constexpr double kShedDown = 0.01;    // ... less with each other one: settles at about one late in nine
-constexpr int kCalmRun = 20;          // answers in time in a row, after which shedding falls as it rose
-constexpr double kMaxShed = 0.9;      // something always gets through, to learn that a jam is over
-constexpr std::size_t kRanked = 64;   // arrivals among which the worth of a request is ranked
-constexpr double kRepeatWorth = 0.1;  // of its worth is left to what a client sends again
-constexpr double kOverShare = 1.25;   // multiple of a tenant's share beyond which it counts as over it
-constexpr double kTenantPrior = 8;    // requests' worth of usage at exactly the shares, for small samples
-constexpr double kTenantFade = 0.98;  // of earlier usage, with each request
-constexpr Time kRefresh = 250'000;    // microseconds between recuts that follow warmth and health
-constexpr int kAskBackoffs = 4;       // doublings of the wait between calls of the directory
+constexpr double kSpillDown = 0.006;   // ... fewer with each other one: settles at about one slow in eight
+constexpr double kMaxSpill = 0.7;      // of the sessions leave the zone at the most
+constexpr double kPaceUp = 0.006;      // a kind's learned pace recovers by this with each good answer ...
+constexpr double kPaceDown = 0.04;     // ... and falls by this with each slow one
+constexpr double kMinPace = 0.2;       // no kind is trusted with less than this of its listed weight
+constexpr double kShedUp = 0.08;       // more is shed with each late answer ...
+constexpr double kShedDown = 0.01;     // ... less with each other one: settles at about one late in nine
+constexpr int kCalmRun = 20;           // answers in time in a row, after which shedding falls as it rose
+constexpr double kMaxShed = 0.9;       // something always gets through, to learn that a jam is over
+constexpr double kShortAbsence = 0.1;  // of the longest advised absence, for a refusal without any jam
+constexpr std::size_t kRanked = 64;    // arrivals among which the worth of a request is ranked
+constexpr double kRepeatWorth = 0.1;   // of its worth is left to what a client sends again
+constexpr double kOverShare = 1.25;    // multiple of a tenant's share beyond which it counts as over it
+constexpr double kTenantPrior = 8;     // requests' worth of usage at exactly the shares, for small samples
+constexpr double kTenantFade = 0.98;   // of earlier usage, with each request
+constexpr Time kRefresh = 250'000;     // microseconds between recuts that follow warmth and health
+constexpr int kAskBackoffs = 4;        // doublings of the wait between calls of the directory
 constexpr std::uint32_t kDirectoryTimer = 0;
 
 // ------------------------------------------------------------------ words of the rules
@@ -497,11 +498,21 @@
   // ---------------------------------------------------------------- the end of a request
   void end(Pending& p) {
     const bool refuse = may_refuse(p);
-    actions_.push_back({.kind = refuse ? ActionKind::refuse : ActionKind::fail, .id = p.request.id});
+    actions_.push_back(
+        {.kind = refuse ? ActionKind::refuse : ActionKind::fail, .id = p.request.id, .time = come_back()});
     for (std::size_t i = 0; i < p.attempts.size(); ++i) cancel(p, i);
     pending_.erase(p.request.id);
   }
 
+  // How long the client should stay away: the more is shed, the longer, and not all for the same time.
+  Time come_back() {
+    if (!settings_.retry_after) return 0;
+    const double part = std::max(kShortAbsence, shed_);
+    return std::clamp<Time>(
+        jittered(static_cast<Time>(part * static_cast<double>(settings_.max_retry_after))), 1,
+        std::max<Time>(1, settings_.max_retry_after));
+  }
+
   // Guards rule 2: a refusal assures the client that a repeat does no harm.
   bool may_refuse(const Pending& p) const {
     const auto& c = settings_.classes[p.request.cls];
--- /dev/null
+++ b/tests/net/dialects.cpp
@@ -0,0 +1,197 @@
+// Both kinds of client with both kinds of box: recorded streams, refusals, errors, and hard ends.
+#include <simdjson.h>
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "play.hpp"
+
+using sprucecourse::testing::Play;
+using sprucecourse::testing::Setup;
+
+namespace {
+
+std::string recorded(const std::string& dialect) {
+  std::ifstream file(std::string(THORNWICK_STREAMS) + "/" + dialect + ".sse");
+  std::ostringstream text;
+  text << file.rdbuf();
+  REQUIRE(!text.str().empty());
+  return text.str();
+}
+
+// What a client ends up with, read without the router's code.
+struct Tally {
+  std::string text, reason;
+  std::uint64_t prompt = 0, made = 0, kept = 0;
+  int ends = 0;
+  bool operator==(const Tally&) const = default;
+};
+
+std::string unchunk(const std::string& raw) {
+  std::string out;
+  for (std::size_t at = raw.find("\r\n\r\n") + 4; at < raw.size();) {
+    const auto end = raw.find("\r\n", at);
+    const auto size = std::stoul(raw.substr(at, end - at), nullptr, 16);
+    out += raw.substr(end + 2, size);
+    at = end + 4 + size;
+  }
+  return out;
+}
+
+Tally tally_of(const std::string& stream) {
+  Tally tally;
+  simdjson::dom::parser parser;
+  std::istringstream lines(stream);
+  const auto add = [](std::string& to, auto value) {
+    if (std::string_view text; value.get(text) == simdjson::SUCCESS) to += text;
+  };
+  const auto count = [](std::uint64_t& to, auto value) {
+    if (std::uint64_t number = 0; value.get(number) == simdjson::SUCCESS) to = number;
+  };
+  std::uint64_t fresh = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with("data: ")) continue;
+    if (line == "data: [DONE]") {
+      ++tally.ends;
+      continue;
+    }
+    const auto json = parser.parse(line.substr(6)).value();
+    if (json["type"].error() != simdjson::SUCCESS) {
+      add(tally.text, json.at_pointer("/choices/0/delta/content"));
+      add(tally.reason, json.at_pointer("/choices/0/finish_reason"));
+      count(tally.prompt, json.at_pointer("/usage/prompt_tokens"));
+      count(tally.made, json.at_pointer("/usage/completion_tokens"));
+      count(tally.kept, json.at_pointer("/usage/prompt_tokens_details/cached_tokens"));
+      continue;
+    }
+    if (std::string_view(json["type"]) == "message_stop") ++tally.ends;
+    add(tally.text, json.at_pointer("/delta/text"));
+    add(tally.reason, json.at_pointer("/delta/stop_reason"));
+    for (const std::string at : {"/message/usage", "/usage"}) {
+      count(fresh, json.at_pointer(at + "/input_tokens"));
+      count(tally.kept, json.at_pointer(at + "/cache_read_input_tokens"));
+      count(tally.made, json.at_pointer(at + "/output_tokens"));
+    }
+    tally.prompt = fresh + tally.kept;
+  }
+  if (tally.reason == "max_tokens") tally.reason = "length";
+  return tally;
+}
+
+}  // namespace
+
+TEST_CASE("recorded streams of both dialects end in the same tally for both kinds of client") {
+  const std::string client = GENERATE("client", "writer");
+  const std::string box = GENERATE("platform", "messages");
+  const std::size_t piece = GENERATE(7, 100'000);  // split frames, and all at once
+  CAPTURE(client, box, piece);
+  Play play({.box_dialect = box});
+  const bool platform_client = client == "client";
+  play.run(client + " send " + (platform_client ? "$ask(r1)" : "$say(r1)"));
+  play.run(box == "platform" ? "hop1 expect POST /v1/chat/completions " : "hop1 expect POST /v1/messages ");
+  play.run("hop1 expect X-Request-ID: r1\\r\\n\nhop1 expect \"max_tokens\":50\nhop1 send $stream");
+  const std::string stream = recorded(box);
+  for (std::size_t at = 0; at < stream.size(); at += piece) {
+    std::ostringstream chunk;
+    const std::string part = stream.substr(at, piece);
+    chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
+    play.send("hop1", chunk.str());
+  }
+  play.run("hop1 send 0\\r\\n\\r\\n\n" + client + " expect \\r\\n0\\r\\n\\r\\n\nrouter expect served=1");
+  const std::string got = unchunk(play.received(client));
+  const bool same = platform_client == (box == "platform");
+  if (same) CHECK(got == stream);  // byte for byte
+  CHECK(got.find("event: ") == (platform_client ? std::string::npos : 0));
+  const Tally expected{"Bula, \"lab\"\nthe suite \u00e9 passed. Done", "length", 5120, 12, 4096, 1};
+  CHECK(tally_of(got) == expected);
+}
+
+TEST_CASE("a translated request keeps the system's words and the turns") {
+  Play play({.box_dialect = "platform"});
+  play.run(R"(
+    writer1 send $say(r1)
+    hop1 expect "messages":[{"role":"system","content":"be brief"},{"role":"user","content":"hi"}]
+    hop1 send $stream$delta(one)$done
+    writer1 expect event: message_start
+    writer1 expect event: content_block_start
+    writer1 expect "text":"one"
+    writer1 expect event: content_block_stop
+    writer1 expect event: message_delta
+    writer1 expect event: message_stop
+    writer1 expect \r\n0\r\n\r\n
+  )");
+}
+
+TEST_CASE("refusals, errors and deadlines come in the client's dialect") {
+  Play play({.box_dialect = "messages"});
+  play.run(R"(
+    writer1 send $say(r1)
+    hop1 send $full
+    writer1 expect HTTP/1.1 529 Overloaded\r\n
+    writer1 expect Retry-After: 
+    writer1 expect {"type":"error","error":{"type":"overloaded_error"
+    writer1 send $say(r2,150)
+    hop2 expect X-Request-ID: r2\r\n
+    writer1 expect HTTP/1.1 529 
+    writer1 expect Retry-After: 
+    writer1 send POST /v1/messages HTTP/1.1\r\nX-Request-ID: r3\r\n\r\n
+    writer1 expect HTTP/1.1 400 
+    writer1 expect {"type":"error","error":{"type":"invalid_request_error"
+    client1 send $ask(r4)
+    hop3 send HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n
+    client1 expect {"error":{"type":"overloaded"
+    router expect hop_full=2
+  )");
+}
+
+TEST_CASE("an error event after partial output reaches the client; no clean end, no other hop") {
+  const std::string client = GENERATE("client", "writer");
+  Play play({.boxes = 2, .box_dialect = "messages"});
+  play.run(client + " send " + (client == "client" ? "$ask(r1)" : "$say(r1)") + R"(
+    hop1 send $stream$event(message_start,,"message":{"usage":{"input_tokens":1}})
+    hop1 send $event(content_block_delta,,"index":0,"delta":{"type":"text_delta","text":"one"})
+    hop1 send $event(error,,"error":{"type":"api_error","message":"it fell over"})0\r\n\r\n
+  )");
+  play.run(client + " expect one\n" + client + " expect it fell over\n" + client +
+           " expect \"}}\\n\\n\\r\\n\n" + client +
+           " expect close\nrouter expect broken=1\nrouter expect hops=1\nrouter expect hop_error=1");
+}
+
+TEST_CASE("an error event before any output leads to another hop") {
+  Play play({.boxes = 2, .box_dialect = "messages"});
+  play.run(R"(
+    writer1 send $say(r1)
+    hop1 send $stream$event(error,,"error":{"type":"overloaded_error","message":"busy"})0\r\n\r\n
+    hop2 send $stream$event(message_start,,"message":{"usage":{}})$event(message_stop)0\r\n\r\n
+    writer1 expect event: message_stop
+    writer1 expect \r\n0\r\n\r\n
+    router expect hop_error=1
+  )");
+}
+
+TEST_CASE("a stream that ends on an unknown event is whole only if the terminal event came before") {
+  const std::string terminal = GENERATE("", "$event(message_stop)");
+  Play play({.box_dialect = "messages"});
+  play.run(R"(
+    writer1 send $say(r1)
+    hop1 send $stream$event(message_start,,"message":{"usage":{}}))" +
+           terminal + R"($event(farewell)0\r\n\r\n
+    writer1 expect event: farewell\ndata: {"type":"farewell"}\n\n\r\n
+  )");
+  play.run(terminal.empty() ? "writer1 expect close\nrouter expect broken=1"
+                            : "writer1 expect 0\\r\\n\\r\\n\nrouter expect served=1");
+}
+
+TEST_CASE("an unknown event is passed over in translation, and pings become comments") {
+  Play play({.box_dialect = "messages"});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$event(message_start,,"message":{"usage":{}})$event(novelty)$event(ping)
+    client1 expect "role":"assistant"
+    client1 expect \r\n8\r\n: ping\n\n\r\n
+    hop1 send $event(novelty)0\r\n\r\n
+    client1 expect close
+    router expect broken=1
+  )");
+}
--- /dev/null
+++ b/tests/net/play.hpp
@@ -0,0 +1,58 @@
+// A small language for scenarios on sockets. One line, one step:
+//
+//   ACTOR send TEXT      ACTOR expect TEXT      ACTOR expect close      ACTOR close      wait MS
+//
+// Actors: clientN (the platform's front), writerN (the messages front), hopN (the N-th request that reached
+// any stand-in box), list (discovery's stand-in: `send` answers the call that waits) and router (`expect`
+// reads its counters, `close` is a planned restart). `expect` goes on reading behind what it found last;
+// `expect close` also wants nothing left unread. Texts know \r \n \\ and the words in play.cpp, as $done.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "node.hpp"
+
+namespace sprucecourse::testing {
+
+struct Setup {
+  int boxes = 1;
+  std::string box_dialect = "platform";
+  Time keepalive = 5'000'000, silence_limit = 3'000'000;
+  std::string known_state = "SERVING";
+  std::string flow_collector = {};
+};
+
+class Play {
+ public:
+  explicit Play(const Setup& setup = {});
+  ~Play();
+
+  void run(const std::string& script);
+
+  // For tests that need more than the language says.
+  std::string received(const std::string& actor);
+  void send(const std::string& actor, const std::string& bytes);
+  void expect(const std::string& actor, const std::string& text);
+
+ private:
+  struct Line;
+  Line& line(const std::string& actor);
+  void listen(std::unique_ptr<net::Listener>& listener, bool box);
+  void box_arrived(std::shared_ptr<Line> line);
+  void step(const std::string& text);
+  bool wait_for(const std::function<bool()>& done);
+  std::string counters() const;
+
+  std::vector<std::unique_ptr<net::Listener>> boxes_;
+  std::unique_ptr<net::Listener> list_;
+  std::vector<std::shared_ptr<Line>> accepted_;
+  std::map<std::string, std::shared_ptr<Line>> actors_;
+  int hops_ = 0;
+  std::unique_ptr<Node> node_;
+};
+
+}  // namespace sprucecourse::testing
--- /dev/null
+++ b/tests/net/scenarios.cpp
@@ -0,0 +1,264 @@
+// Scenarios of the platform's front: what a client and a box see of the router between them.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include "play.hpp"
+
+using sprucecourse::testing::Play;
+using sprucecourse::testing::Setup;
+
+TEST_CASE("a request passes on unchanged and its events come back unchanged") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect POST /v1/chat/completions HTTP/1.1\r\n
+    hop1 expect X-Request-ID: r1\r\n
+    hop1 expect X-Timeout-Ms: 79
+    hop1 expect {"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]}
+    hop1 send $stream$delta(one)
+    client1 expect HTTP/1.1 200 OK\r\n
+    client1 expect $delta(one)
+    hop1 send $delta(two)$done
+    client1 expect $delta(two)
+    client1 expect data: [DONE]\n\n
+    client1 expect \r\n0\r\n\r\n
+    router expect served=1
+    # The connections stay, on both sides.
+    client1 send $ask(r2)
+    hop2 expect X-Request-ID: r2\r\n
+    hop2 send $stream$delta(three)$done
+    client1 expect three
+    client1 expect \r\n0\r\n\r\n
+    router expect opened=1
+  )");
+}
+
+TEST_CASE("a box that is full is stepped over, and its connection is kept") {
+  Play play({.boxes = 2});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $full
+    hop2 expect X-Request-ID: r1\r\n
+    hop2 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    router expect hop_full=1
+    router expect lines=2
+  )");
+}
+
+TEST_CASE("an error before the first event leads to another hop") {
+  Play play({.boxes = 2});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $error
+    hop2 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    router expect hop_error=1
+    router expect served=1
+  )");
+}
+
+TEST_CASE("a stream that breaks ends the client's connection, without the last chunk or another hop") {
+  Play play({.boxes = 2});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)
+    client1 expect $delta(one)
+    hop1 close
+    client1 expect close
+    router expect broken=1
+    router expect hops=1
+  )");
+}
+
+TEST_CASE("a stream without its terminal event is not whole, even with its last chunk") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)0\r\n\r\n
+    client1 expect $delta(one)
+    client1 expect close
+    router expect broken=1
+  )");
+}
+
+TEST_CASE("a stream that goes silent is ended, so that its client can ask for the rest") {
+  Play play({.silence_limit = 100'000});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)
+    client1 expect $delta(one)
+    client1 expect close
+    hop1 expect {"role":"user","content":"hi"}]}
+    hop1 expect close
+    router expect silent=1
+  )");
+}
+
+// The idle timer of a pooled connection once ran on under the next hop and closed it.
+TEST_CASE("a pooled connection's idle limit does not end the hop that took it") {
+  Play play({.keepalive = 300'000});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    client1 send $ask(r2)
+    hop2 expect X-Request-ID: r2\r\n
+    wait 500
+    hop2 send $stream$delta(two)$done
+    client1 expect two
+    client1 expect \r\n0\r\n\r\n
+    router expect reused=1
+  )");
+}
+
+TEST_CASE("an idle connection to a box is closed before the keep-alive time") {
+  Play play({.keepalive = 300'000});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect {"role":"user","content":"hi"}]}
+    hop1 send $stream$delta(one)$done
+    hop1 expect close
+    router expect lines=0
+  )");
+}
+
+TEST_CASE("a pooled connection that breaks under a request is a reset, not a silent repeat") {
+  Play play({.boxes = 2});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    client2 send $ask(r2)
+    hop2 close
+    hop3 expect X-Request-ID: r2\r\n
+    router expect hop_reset=1
+    router expect hops=3
+  )");
+}
+
+TEST_CASE("a hop ends with the client's time, and the client is told when to come back") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1,150)
+    hop1 expect {"role":"user","content":"hi"}]}
+    hop1 expect close
+    client1 expect HTTP/1.1 503 Service Unavailable\r\n
+    client1 expect Retry-After: 
+    router expect hop_timed_out=1
+  )");
+}
+
+TEST_CASE("what no box takes is refused at once, and the client is told when to come back") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $full
+    client1 expect HTTP/1.1 503 Service Unavailable\r\n
+    client1 expect Retry-After: 
+    router expect shed=1
+  )");
+}
+
+TEST_CASE("a client that goes ends its hop") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect {"role":"user","content":"hi"}]}
+    client1 close
+    hop1 expect close
+    router expect gone=1
+    router expect open=0
+  )");
+}
+
+TEST_CASE("bad input gets a short answer and no hop") {
+  const auto& [request, status] = GENERATE(table<std::string, std::string>({
+      {R"(nonsense\r\n\r\n)", "400"},
+      {R"(GET /elsewhere HTTP/1.1\r\n\r\n)", "404"},
+      {R"(GET /v1/chat/completions HTTP/1.1\r\n\r\n)", "405"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nContent-Length: x\r\n\r\n)", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n)", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 262145\r\n\r\n)", "413"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41000\r\n$fill(266240))",
+       "413"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nX-Long: $fill(20000))", "431"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 1\r\n\r\n)",
+       "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r\r\nX-Priority-Class: none\r\nX-Tenant-Id: acme\r\n\r\n)",
+       "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r\r\nX-Priority-Class: chat\r\nX-Tenant-Id: who\r\n\r\n)",
+       "400"},
+      {R"($ask(r1,soon))", "400"},
+  }));
+  Play play;
+  play.run(
+      "client1 send " + request + "\nclient1 expect HTTP/1.1 " + status +
+      " \nclient1 expect {\"error\":{\nrouter expect bad=1\nrouter expect hops=0\nrouter expect open=0\n");
+}
+
+TEST_CASE("a request in pieces is one request") {
+  Play play;
+  play.run(R"(
+    client1 send POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r1\r\nX-Prio
+    wait 10
+    client1 send rity-Class: quick\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 4000\r\nTransfer-Encoding: chunked\r\n
+    wait 10
+    client1 send X-Attrs: prompt_len=4,max_out=4\r\n\r\n3\r\n{"a
+    client1 send \r\n4\r\n":1}\r\n0\r\n\r\n
+    hop1 expect Content-Length: 7\r\n\r\n{"a":1}
+  )");
+}
+
+TEST_CASE("the list is watched again at once, and a drain takes effect") {
+  Play play;
+  play.run(R"(
+    list expect GET /registry/instances?after=1&wait_ms=0 
+    list send $json({"rev":2,"all":false,"targets":[]})
+    list expect GET /registry/instances?after=2&wait_ms=5000 
+    list send $json({"rev":3,"all":false,"targets":[{"uid":"s-01","state":"DRAINING"}]})
+    list expect GET /registry/instances?after=3&wait_ms=5000 
+    client1 send $ask(r1,300)
+    client1 expect HTTP/1.1 503 
+    router expect hops=0
+  )");
+}
+
+TEST_CASE("a failed call of discovery is made again, and the list that is known stays good") {
+  Play play;
+  play.run(R"(
+    list expect GET /registry/instances
+    list send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
+    router expect list_failures=1
+    router expect list_calls=2
+    client1 send $ask(r1)
+    hop1 expect X-Request-ID: r1
+  )");
+}
+
+TEST_CASE("a planned restart loses nothing that was taken, and sends its clients elsewhere") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)
+    client1 expect $delta(one)
+    router close
+    client2 send $ask(r2)
+    hop2 send $stream$delta(two)$done
+    client2 expect Connection: close\r\n
+    client2 expect \r\n0\r\n\r\n
+    client2 expect close
+    hop1 send $done
+    client1 expect \r\n0\r\n\r\n
+    client1 expect close
+    router expect served=2
+  )");
+}
+
+TEST_CASE("a client is let in once a list is known") {
+  Play play;
+  play.run(R"(
+    client1 send GET /health/ready HTTP/1.1\r\n\r\n
+    client1 expect HTTP/1.1 200 OK\r\n
+  )");
+}
