Cut over the replicas of all zones where routers form a group

Checked: each router cut only over the three or so replicas of its own zone. At fault: State::cut_over took the own zone as the ordinary path, so the routers did not share one sorted-id order, as the design has it. A router without peers keeps its zone first, and the inherited tests of that stay as they were.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -201,11 +201,18 @@
     return at == sorted_.begin() ? 0 : std::prev(at)->work;
   }
 
+  // Routers of a group share one order and so cut over the same replicas, whatever their zones. Guards against
+  // a zone whose few replicas carry all that enters there while others idle: crossing costs less than waiting.
+  // A router without peers has nobody to agree with: its own zone comes first.
+  bool is_home(const Replica& r) const {
+    return settings_.group_size > 1 || r.listing.zone == settings_.zone;
+  }
+
   Cut cut_over(Time now, bool own) {
     Cut cut;
     double capacity = 0, ejected = 0, warm = 0, warm_count = 0, share = 0, able = 0;
     for (auto& [id, r] : replicas_) {
-      if (r.listing.state != Listed::ready || own != (r.listing.zone == settings_.zone)) continue;
+      if (r.listing.state != Listed::ready || own != is_home(r)) continue;
       cut.members.push_back(&r);
       capacity += capacity_of(r);
       if (now < r.ejected_until) {
@@ -273,7 +280,7 @@
     return warmth(now, r) < 1 && (p.request.client_repeat || (mean_work_ > 0 && p.work > light));
   }
 
-  // The own zone, as far as its shares go; beyond that the other zones; else nobody (all are cold).
+  // The replicas at home, as far as their shares go; beyond that the others; else nobody (all are cold).
   const Cut* choose_cut(const Pending& p) {
     const double coin = p.request.session != 0 ? unit(mix(p.request.session)) : draw();
     if (!own_.members.empty() && coin < std::min(own_.fill, 1 - spill_)) return &own_;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -148,6 +148,25 @@
   }
 }
 
+// Routers that kept to their own zones once left the replicas of quiet zones idle while others refused.
+TEST(Agreement, RoutersOfAllZonesCutOverTheSameReplicas) {
+  std::map<ReplicaId, int> sent[2];
+  for (std::uint16_t zone = 0; zone < 2; ++zone) {
+    auto s = plain_settings();
+    s.group_size = 2;
+    s.rank = s.zone = zone;
+    s.zone_count = 2;
+    Fixture f(s);
+    f.list({{.id = 1, .zone = 0}, {.id = 2, .zone = 1}, {.id = 3, .zone = 0}, {.id = 4, .zone = 1}});
+    for (int i = 0; i < 200; ++i) {
+      const auto to = sent_to(f.arrive_sized(100 + i % 40));
+      ++sent[zone][to];
+      f.serve(f.last.id, to);
+    }
+    EXPECT_EQ(sent[zone].size(), 4u);
+  }
+}
+
 TEST(Agreement, ManyRoutersWithFewSamplesShareTheWorkEvenly) {
   constexpr int kRouters = 60, kReplicas = 8, kEach = 40;
   std::map<ReplicaId, double> work;
