--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -201,9 +201,9 @@
     return at == sorted_.begin() ? 0 : std::prev(at)->work;
   }
 
-  // Routers of a group share one order and so cut over the same replicas, whatever their zones. Guards against
-  // a zone whose few replicas carry all that enters there while others idle: crossing costs less than waiting.
-  // A router without peers has nobody to agree with: its own zone comes first.
+  // Routers of a group share one order and so cut over the same replicas, whatever their zones. Guards
+  // against a zone whose few replicas carry all that enters there while others idle: crossing costs less than
+  // waiting. A router without peers has nobody to agree with: its own zone comes first.
   bool is_home(const Replica& r) const {
     return settings_.group_size > 1 || r.listing.zone == settings_.zone;
   }
