--- a/src/config.hpp
+++ b/src/config.hpp
@@ -34,6 +34,7 @@
   std::string name, listen, discovery, peer_listen, peers_all;
   std::vector<std::string> peers;
   std::size_t sockets = 1024;
+  std::size_t most_clients = 0;  // connections of clients at a front; 0: a part of the descriptors
   Settings settings;
   // What the settings say that is no decision's business.
   std::vector<std::string> classes, tenants, zones, kinds, report_fields;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr const char* kVersion = "0.2.0";
+constexpr std::size_t kOwnDescriptors = 12;  // standard streams, GLib's own, files that are read for a moment
 
 // Descriptors: the platform's limit or the kernel's, whichever is lower.
 std::size_t descriptor_limit(std::size_t wanted) {
@@ -47,7 +48,8 @@
 }
 
 void serve(const Config& config) {
-  net::descriptors().limit = descriptor_limit(config.sockets) - std::min<std::size_t>(16, config.sockets / 8);
+  const std::size_t limit = descriptor_limit(config.sockets);
+  net::descriptors().limit = limit - std::min(kOwnDescriptors, limit / 4);
   Node node(config);
   const std::unique_ptr<GMainLoop, void (*)(GMainLoop*)> loop(g_main_loop_new(nullptr, FALSE),
                                                               g_main_loop_unref);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -42,7 +42,12 @@
   }
   ~Line() override { owner_.held_bytes_ -= held_; }
 
-  bool idle() const { return state_ == State::idle && !closing_ && reader_.between_messages(); }
+  // Between two requests, with nothing of the next one in the kernel. A connection that has not had its
+  // first request yet is not idle: the client opened it because it has one.
+  bool idle() const {
+    return state_ == State::idle && !closing_ && had_one_ && reader_.between_messages() &&
+           !stream_.readable_now();
+  }
   Time idle_since() const { return idle_since_; }
 
   // The client has gone, or is sent away: whatever it had asked for is over.
@@ -167,8 +172,9 @@
     call->body = std::make_shared<const std::string>(std::exchange(body_, {}));
     core::Arrival arrival{fronts::read_request(*call, owner_.names_, begun_), call};
     request_id_ = *head.find("X-Request-ID");
-    if (owner_.held_bytes_ + call->body->size() > kMostBodies) {
+    if (owner_.crowded() || owner_.held_bytes_ + call->body->size() > kMostBodies) {
       ++owner_.counters_.crowded;
+      keep_ = false;
       return shed(kCrowdedAbsence);
     }
     held_ = call->body->size();
@@ -208,6 +214,7 @@
 
   void answered() {
     state_ = State::idle;
+    had_one_ = true;
     owner_.held_bytes_ -= std::exchange(held_, 0);
     writer_.reset();
     body_.clear();
@@ -247,7 +254,7 @@
   Time begun_ = 0, idle_since_ = now_us();
   std::size_t held_ = 0;
   bool keep_ = true, head_out_ = false, congested_ = false;
-  bool closing_ = false, left_ = false, working_ = false;
+  bool closing_ = false, left_ = false, working_ = false, had_one_ = false;
 };
 
 Clients::Clients(Options options, const fronts::Names& names, core::Exchanges& core)
@@ -258,15 +265,16 @@
 
 Clients::~Clients() = default;
 
-// A new client is worth more than an idle connection, which its client opens anew when it needs it.
+// A new client is worth more than an idle connection, which its client opens anew when it needs it. Beyond
+// the share of the clients others are still let in as long as there are descriptors: their requests are
+// refused at once. Guards against requests that nobody reads until their clients give up.
 bool Clients::room() {
-  const auto full = [this] {
-    return lines_.size() >= options_.most_connections || descriptors().held + 1 >= descriptors().limit;
-  };
-  if (full()) close_idle();
-  return !full();
+  if (crowded()) close_idle();
+  return descriptors().held + 2 < descriptors().limit;
 }
 
+bool Clients::crowded() const { return lines_.size() > options_.most_connections; }
+
 void Clients::close_idle() {
   Line* oldest = nullptr;
   for (auto& [line, owned] : lines_) {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -36,6 +36,7 @@
   class Line;
 
   bool room();
+  bool crowded() const;
   void accepted(Owned<GSocket> socket);
   void gone(Line& line);
   void close_idle();
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -171,6 +171,10 @@
   }
 }
 
+bool Stream::readable_now() const {
+  return open() && (g_socket_condition_check(socket_.get(), G_IO_IN) & G_IO_IN) != 0;
+}
+
 void Stream::hold(bool on) {
   held_ = on;
   if (on) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -104,6 +104,7 @@
   void hold(bool on);  // stop reading for a while
   void close();
   bool open() const { return socket_ != nullptr; }
+  bool readable_now() const;
 
  private:
   void watch_reading();
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -283,9 +283,7 @@
 }
 
 bool Servers::make_room() {
-  const auto full = [this] {
-    return lines_.size() >= options_.most_connections || descriptors().held + 1 >= descriptors().limit;
-  };
+  const auto full = [] { return descriptors().held + 1 >= descriptors().limit; };
   if (!full()) return true;
   Line* oldest = nullptr;
   for (auto& [target, lines] : idle_) {
@@ -323,8 +321,11 @@
   if (route == nullptr || !route->address || !routes_.may_send(target)) {
     return core_->hop_ended(hop, Outcome::not_sent);
   }
+  const auto lacked = counters_.no_descriptor;
   Line* line = line_to(*route);
-  if (line == nullptr) return core_->hop_ended(hop, Outcome::connect_failed);
+  const bool crowded = counters_.no_descriptor != lacked;
+  // Guards against the ejection of a replica for what this router lacks.
+  if (line == nullptr) return core_->hop_ended(hop, crowded ? Outcome::not_sent : Outcome::connect_failed);
   hops_[hop] = line;
   line->carry(hop, std::move(payload), until);
 }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -7,16 +7,12 @@
 namespace sprucecourse {
 namespace {
 
-constexpr std::size_t kReserve = 32;      // descriptors for all but clients and egress targets
+// Clients may hold more than half of the descriptors, so that who comes beyond what can be served gets a
+// refusal instead of a place in the kernel's queue; egress targets take what is left.
+constexpr double kClientPart = 0.6;
 constexpr Time kReadyAnyway = 5'000'000;  // ready without a list after this, so that clients get answers
 constexpr Time kQuiet = 3'000'000;        // winding down: without clients for this long, the router ends
 
-// Clients and egress targets share the descriptors evenly: an exchange needs one of each.
-std::size_t connections_each() {
-  const std::size_t limit = net::descriptors().limit;
-  return std::max<std::size_t>(1, (limit - std::min(limit / 4, kReserve)) / 2);
-}
-
 }  // namespace
 
 const fronts::Dialect& dialect_named(const std::string& name) {
@@ -37,8 +33,12 @@
                core_->peer_said(rank, message);
              }),
       servers_(server_options(), routes_),
-      core_(std::make_unique<core::Exchanges>(config.settings,
-                                              core::Surroundings{clock_, servers_, routes_, peers_})) {
+      flows_(config.added.flow_collector.empty()
+                 ? nullptr
+                 : std::make_unique<net::Flows>(config.added.flow_collector, config.added.flow_domain)),
+      core_(std::make_unique<core::Exchanges>(
+          config.settings, core::Surroundings{clock_, servers_, routes_, peers_,
+                                              [this](const core::Tally& tally) { record(tally); }})) {
   clock_.wake = [this] { core_->wake(); };
   servers_.serve(*core_);
   if (!config.known.empty()) {
@@ -56,19 +56,29 @@
   options.dial_limit = config_.dial_limit;
   options.silence_limit = config_.silence_limit;
   options.report_names = config_.report_fields;
-  options.most_connections = connections_each();
   options.dialect = &dialect_named(config_.added.target_dialect);
   for (const auto& [uid, name] : config_.added.targets) options.by_name[uid] = &dialect_named(name);
   return options;
 }
 
+std::size_t Node::most_clients() const {
+  if (config_.most_clients > 0) return config_.most_clients;
+  const auto part = kClientPart * static_cast<double>(net::descriptors().limit);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(part));
+}
+
 void Node::open_front(const std::string& address, const fronts::Dialect& speaks) {
-  fronts_.push_back(
-      std::make_unique<net::Clients>(net::Clients::Options{.address = address,
-                                                           .dialect = &speaks,
-                                                           .most_connections = connections_each(),
-                                                           .ready = [this] { return ready(); }},
-                                     names_, *core_));
+  fronts_.push_back(std::make_unique<net::Clients>(net::Clients::Options{.address = address,
+                                                                         .dialect = &speaks,
+                                                                         .most_connections = most_clients(),
+                                                                         .ready = [this] { return ready(); }},
+                                                   names_, *core_));
+}
+
+void Node::record(const core::Tally& tally) {
+  if (!flows_) return;
+  const net::Route* route = tally.hops == 0 ? nullptr : routes_.find(tally.last_target);
+  flows_->add(tally, route == nullptr ? std::string_view() : route->uid);
 }
 
 bool Node::ready() const { return routes_.size() > 0 || net::now_us() - started_ > kReadyAnyway; }
@@ -111,6 +121,7 @@
        << " drained_meanwhile=" << s.drained_meanwhile << " probes=" << s.probes;
   const auto& d = routes_.counters();
   line << " list_calls=" << d.calls << " list_failures=" << d.failures << " list_entries=" << d.changes;
+  if (flows_) line << " flow_records=" << flows_->sent();
 }
 
 }  // namespace sprucecourse
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -8,6 +8,7 @@
 #include "config.hpp"
 #include "core/exchanges.hpp"
 #include "net/clients.hpp"
+#include "net/flows.hpp"
 #include "net/loop.hpp"
 #include "net/peers.hpp"
 #include "net/route_table.hpp"
@@ -48,7 +49,9 @@
 
  private:
   net::Servers::Options server_options() const;
+  std::size_t most_clients() const;
   void open_front(const std::string& address, const fronts::Dialect& speaks);
+  void record(const core::Tally& tally);
   bool ready() const;
   void watch_quiet();
 
@@ -58,6 +61,7 @@
   net::RouteTable routes_;
   net::Peers peers_;
   net::Servers servers_;
+  std::unique_ptr<net::Flows> flows_;  // none unless the operator asks for it
   std::unique_ptr<core::Exchanges> core_;
   std::vector<std::unique_ptr<net::Clients>> fronts_;
   std::function<void()> done_;
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -146,6 +146,7 @@
   config.kinds = {"m"};
   config.report_fields = {"errors_per_s", "backlog"};
   config.keepalive = setup.keepalive;
+  config.most_clients = setup.most_clients;
   config.silence_limit = setup.silence_limit;
   config.known = "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}";
   node_ = std::make_unique<Node>(config);
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -262,3 +262,27 @@
     client1 expect HTTP/1.1 200 OK\r\n
   )");
 }
+
+// With few descriptors the router once closed connections whose first request it had not read yet.
+TEST_CASE("beyond the clients' share idle connections are closed and new requests refused, never lost") {
+  Play play({.most_clients = 1});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect X-Request-ID: r1\r\n
+    client2 send $ask(r2)
+    client2 expect HTTP/1.1 503 
+    client2 expect Retry-After: 
+    client2 expect {"error":{"type":"overloaded","message":"refused: try again later"}}
+    client2 expect close
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    client3 send $ask(r3)
+    hop2 expect X-Request-ID: r3\r\n
+    client4 send $ask(r4)
+    client4 expect HTTP/1.1 503 
+    client1 expect close
+    hop2 send $stream$delta(two)$done
+    client3 expect \r\n0\r\n\r\n
+    router expect crowded=2
+  )");
+}
