Share the descriptors so that a crowded router refuses instead of losing

At fault: Clients::close_idle closed new connections whose first request was not read yet; Clients::room stopped accepting, so requests waited in the kernel's queue; and egress connections took every descriptor that was left.

--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -283,7 +283,9 @@
 }
 
 bool Servers::make_room() {
-  const auto full = [] { return descriptors().held + 1 >= descriptors().limit; };
+  const auto full = [this] {
+    return lines_.size() >= options_.most_connections || descriptors().held + 1 >= descriptors().limit;
+  };
   if (!full()) return true;
   Line* oldest = nullptr;
   for (auto& [target, lines] : idle_) {
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -21,9 +21,10 @@
   struct Options {
     Time keepalive = 5'000'000;
     Time dial_limit = 120'000;
-    Time silence_limit = 3'000'000;            // of a stream that has begun
-    std::vector<std::string> report_names;     // the fields of a load report, in the order the module wants
-    const fronts::Dialect* dialect = nullptr;  // of targets that are not named below
+    Time silence_limit = 3'000'000;         // of a stream that has begun
+    std::vector<std::string> report_names;  // the fields of a load report, in the order the module wants
+    std::size_t most_connections = 400;
+    const fronts::Dialect* dialect = nullptr;               // of targets that are not named below
     std::map<std::string, const fronts::Dialect*> by_name;  // uid -> dialect
   };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -7,9 +7,10 @@
 namespace sprucecourse {
 namespace {
 
-// Clients may hold more than half of the descriptors, so that who comes beyond what can be served gets a
-// refusal instead of a place in the kernel's queue; egress targets take what is left.
-constexpr double kClientPart = 0.6;
+// Parts of the descriptors. What neither has is kept for clients beyond their part, whose requests are read
+// and refused at once: guards against requests that wait unread in the kernel's queue until they are lost.
+constexpr double kClientPart = 0.5;
+constexpr double kEgressPart = 0.42;
 constexpr Time kReadyAnyway = 5'000'000;  // ready without a list after this, so that clients get answers
 constexpr Time kQuiet = 3'000'000;        // winding down: without clients for this long, the router ends
 
@@ -56,6 +57,8 @@
   options.dial_limit = config_.dial_limit;
   options.silence_limit = config_.silence_limit;
   options.report_names = config_.report_fields;
+  options.most_connections =
+      static_cast<std::size_t>(kEgressPart * static_cast<double>(net::descriptors().limit));
   options.dialect = &dialect_named(config_.added.target_dialect);
   for (const auto& [uid, name] : config_.added.targets) options.by_name[uid] = &dialect_named(name);
   return options;
