--- /dev/null
+++ b/tests/net/config.cpp
@@ -0,0 +1,82 @@
+// The configuration: flattened settings, and one plain line for what makes no sense.
+#include "config.hpp"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+
+using namespace sprucecourse;
+
+namespace {
+
+struct TempFile {
+  explicit TempFile(const std::string& text) : path("thornwick-test-" + std::to_string(getpid()) + ".tmp") {
+    std::ofstream(path) << text;
+  }
+  ~TempFile() { std::remove(path.c_str()); }
+  std::string path;
+};
+
+std::string with_settings(const std::string& settings) {
+  return R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff","settings":)" +
+         settings + "}";
+}
+
+}  // namespace
+
+TEST_CASE("nested settings become the path=value lines of the wire") {
+  simdjson::dom::parser parser;
+  auto json = parser.parse(std::string(
+      R"({"a":{"b":1,"c":true},"zones":["x y","z,w"],"none":[],"list":[{"n":1.5},{"n":2}],"null":null})"));
+  CHECK(flatten(json.value()) ==
+        "a.b=1\na.c=true\nzones=x_y,z_w\nnone=\nlist.0.n=1.5\nlist.1.n=2\nlist.count=2\n");
+}
+
+TEST_CASE("a configuration gives the module its settings and the fronts their names") {
+  const TempFile file(with_settings(
+      R"({"grades":[{"name":"chat","objective":1200000,"deadline":5000000,"streamed":true}],"groupSize":4,"rank":1,)"
+      R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"keepalive":4000000},)"
+      R"("report":{"how":"inline","fields":["queue"]}})"));
+  const Config config = read_config(file.path, "");
+  CHECK(config.settings.seed == 0xff);
+  CHECK(config.settings.group_size == 4);
+  CHECK(config.settings.classes.at(0).aim == 1'200'000);
+  CHECK(config.classes == std::vector<std::string>{"chat"});
+  CHECK(config.tenants == std::vector<std::string>{"acme"});
+  CHECK(config.report_fields == std::vector<std::string>{"queue"});
+  CHECK(config.keepalive == 4'000'000);
+}
+
+TEST_CASE("a bad configuration is refused with one line that says why") {
+  const auto& [text, why] = GENERATE(table<std::string, std::string>({
+      {"{", ""},
+      {"[]", "not an object"},
+      {R"({"listen":"x"})", "no discovery"},
+      {R"({"listen":"x","discovery":"y"})", "no settings"},
+      {with_settings(R"({"groupSize":"many"})"), "groupSize"},
+      {R"({"listen":"x","discovery":"y","seed":"zz","settings":{}})", "seed"},
+  }));
+  const TempFile file(text);
+  try {
+    read_config(file.path, "");
+    FAIL("it was taken: " << text);
+  } catch (const BadConfig& problem) {
+    const std::string said = problem.what();
+    CHECK(said.find(why) != std::string::npos);
+    CHECK(said.find('\n') == std::string::npos);
+  }
+}
+
+TEST_CASE("the operator's file opens the second front and names dialects") {
+  const TempFile file(
+      "[messages]\nlisten = '127.0.0.1:9100'\n[targets.named]\n's-01' = 'messages'\n[flows]\ncollector = "
+      "'c'\n");
+  const OperatorFile added = read_operator_file(file.path);
+  CHECK(added.messages_listen == "127.0.0.1:9100");
+  CHECK(added.target_dialect == "platform");
+  CHECK(added.targets.at("s-01") == "messages");
+  CHECK(added.flow_collector == "c");
+  CHECK(read_operator_file("").messages_listen.empty());
+}
