Give back a client's body bytes when it leaves, not when it is buried

Seen: tests/run under the sanitizers failed in "bad input", use after free in Clients::Line::~Line while the scenario took the router down. Checked: a connection closed in the last turn of the loop is buried and freed one turn later, when its Clients may be gone; the router itself ends by leaving main, so service was not touched. At fault: Line::~Line used its owner. Now leave() settles the account. The scenarios pass three times over under the sanitizers, and ctest in both builds.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -40,7 +40,6 @@
     stream_.adopt(std::move(socket));
     limit_.start(kIdleLimit, [this] { leave(); });
   }
-  ~Line() override { owner_.held_bytes_ -= held_; }
 
   // Between two requests, with nothing of the next one in the kernel. A connection that has not had its
   // first request yet is not idle: the client opened it because it has one.
@@ -55,6 +54,8 @@
     if (std::exchange(left_, true)) return;
     stream_.close();
     limit_.stop();
+    next_.stop();
+    owner_.held_bytes_ -= std::exchange(held_, 0);  // not at the burial, which the owner may not live to see
     if (state_ == State::busy) owner_.core_.client_gone(exchange_);
     owner_.gone(*this);
   }
