Number hops as the module does, and test the core without sockets

Seen: a new test of the core, with a module that is allowed nine attempts, left an exchange without its answer after five hops. At fault: Exchanges::send reported a hop that it did not launch under the number of the next launched one, so the module went on waiting for it. Now every send of the module has its number, launched or not.

--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -36,7 +36,7 @@
   if (found == exchanges_.end()) return;
   Exchange& x = found->second;
   router_.on_client_gone(around_.clock.now(), exchange);
-  if (x.hop_out) drop_hop({exchange, static_cast<std::uint8_t>(x.hops - 1)}, x, Outcome::cancelled, true);
+  if (x.hop_out) drop_hop(x, Outcome::cancelled, true);
   conclude(exchange, Ending::client_gone, {});
   pump();
 }
@@ -44,7 +44,7 @@
 void Exchanges::client_congested(RequestId exchange, bool on) {
   const auto found = exchanges_.find(exchange);
   if (found == exchanges_.end() || !found->second.hop_out) return;
-  around_.egress.hold({exchange, static_cast<std::uint8_t>(found->second.hops - 1)}, on);
+  around_.egress.hold(found->second.hop, on);
 }
 
 // ---------------------------------------------------------------- egress targets
@@ -53,7 +53,7 @@
   const auto found = exchanges_.find(hop.exchange);
   if (found == exchanges_.end()) return nullptr;
   Exchange& x = found->second;
-  return x.hop_out && x.hops == hop.number + 1 ? &x : nullptr;
+  return x.hop_out && x.hop == hop ? &x : nullptr;
 }
 
 void Exchanges::hop_event(HopId hop, const StreamEvent& event) {
@@ -112,10 +112,10 @@
 }
 
 // The connection is closed before the module hears of it: no two hops of an exchange are out at once.
-void Exchanges::drop_hop(HopId hop, Exchange& x, Outcome outcome, bool concluded) {
-  around_.egress.abandon(hop);
+void Exchanges::drop_hop(Exchange& x, Outcome outcome, bool concluded) {
+  around_.egress.abandon(x.hop);
   x.hop_out = false;
-  report(hop, x, outcome, concluded, {});
+  report(x.hop, x, outcome, concluded, {});
 }
 
 void Exchanges::probed(ReplicaId target, bool alive, std::span<const float> load) {
@@ -155,7 +155,7 @@
     case Due::module_timer: router_.on_timer(around_.clock.now(), alarm.token); break;
     case Due::hop: {
       Exchange* x = current(alarm.hop);
-      if (x != nullptr && !x->started) drop_hop(alarm.hop, *x, Outcome::timed_out, false);
+      if (x != nullptr && !x->started) drop_hop(*x, Outcome::timed_out, false);
       break;
     }
     case Due::backstop: {
@@ -163,7 +163,7 @@
       Exchange& x = found->second;
       router_.on_client_gone(around_.clock.now(), alarm.hop.exchange);
       if (x.hop_out) {
-        drop_hop({alarm.hop.exchange, static_cast<std::uint8_t>(x.hops - 1)}, x, Outcome::timed_out, true);
+        drop_hop(x, Outcome::timed_out, true);
       }
       conclude(alarm.hop.exchange, Ending::timed_out,
                [this](Reply& r) { r.fail(Failure::timed_out, come_back_); });
@@ -196,7 +196,7 @@
       if (!open) return;
       Exchange& x = found->second;
       if (x.hop_out) {
-        drop_hop({action.id, static_cast<std::uint8_t>(x.hops - 1)}, x, Outcome::cancelled, true);
+        drop_hop(x, Outcome::cancelled, true);
       }
       const bool late = around_.clock.now() >= x.arrival.request.due;
       const Time back = action.time;
@@ -209,7 +209,7 @@
     case ActionKind::cancel: {
       const HopId hop{action.id, action.attempt};
       Exchange* x = current(hop);
-      if (x != nullptr && !x->started) drop_hop(hop, *x, Outcome::cancelled, false);
+      if (x != nullptr && !x->started) drop_hop(*x, Outcome::cancelled, false);
       return;
     }
     case ActionKind::set_timer:
@@ -226,17 +226,19 @@
   if (found == exchanges_.end()) return;
   Exchange& x = found->second;
   const Time now = around_.clock.now();
-  if (x.started || x.hop_out || x.hops >= most_hops_ || now >= x.arrival.request.due) {
+  const HopId hop{action.id, x.sends++};
+  if (x.started || x.hop_out || hop.number >= most_hops_ || now >= x.arrival.request.due) {
     ++counters_.outcomes[Outcome::not_sent];
     router_.on_attempt_result(
-        now, {.id = action.id, .attempt = x.hops, .replica = action.replica, .outcome = Outcome::not_sent});
+        now,
+        {.id = action.id, .attempt = hop.number, .replica = action.replica, .outcome = Outcome::not_sent});
     return;
   }
-  const HopId hop{action.id, x.hops++};
+  x.hop = hop;
   x.hop_out = true;
   x.failed = false;
   x.target = x.tally.last_target = action.replica;
-  x.tally.hops = x.hops;
+  ++x.tally.hops;
   x.hop_sent = now;
   const Time due = x.arrival.request.due;
   x.hop_until = action.time > 0 ? std::min(now + action.time, due) : due;
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -98,7 +98,8 @@
     Reply* reply = nullptr;
     Arrival arrival;
     Tally tally;
-    std::uint8_t hops = 0;
+    std::uint8_t sends = 0;  // as the module counts them; one that was never launched has its number too
+    HopId hop;               // the latest that was launched
     bool hop_out = false, started = false, whole = false, failed = false;
     ReplicaId target = 0;
     Time hop_sent = 0, hop_until = 0;
@@ -117,7 +118,7 @@
   void conclude(RequestId id, Ending ending, const std::function<void(Reply&)>& answer);
   void report(HopId hop, const Exchange& exchange, Outcome outcome, bool concluded,
               std::span<const float> load);
-  void drop_hop(HopId hop, Exchange& exchange, Outcome outcome, bool concluded);
+  void drop_hop(Exchange& exchange, Outcome outcome, bool concluded);
   void set_alarm(Time when, Alarm alarm);
   void ring(const Alarm& alarm);
 
--- /dev/null
+++ b/tests/net/core.cpp
@@ -0,0 +1,137 @@
+// The core without sockets: a clock that is set by hand, and an egress that only keeps count.
+#include <catch2/catch.hpp>
+
+#include "core/exchanges.hpp"
+
+using namespace sprucecourse;
+using namespace sprucecourse::core;
+
+namespace {
+
+struct World : Clock, Egress, Directory, PeerLink, Reply {
+  World() {
+    settings.classes.push_back({.aim = 2'000'000, .deadline = 8'000'000});
+    settings.max_attempts = 9;  // more than the core allows
+    settings.may_cancel = settings.retry_after = true;
+    settings.max_retry_after = 2'000'000;
+  }
+
+  Time now() const override { return time; }
+  void wake_at(Time when) override { wake = when; }
+  void launch(HopId hop, ReplicaId, std::shared_ptr<const Payload>, Time) override {
+    CHECK(out.empty());  // never two at once
+    out.push_back(hop);
+    ++launched;
+  }
+  void abandon(HopId hop) override { std::erase(out, hop); }
+  void hold(HopId, bool) override {}
+  void probe(ReplicaId) override {}
+  void watch() override {}
+  void fetch() override {}
+  void tell(std::uint32_t, const std::string&) override {}
+  void event(const StreamEvent& e) override { events += e.text; }
+  void finish() override { ++whole; }
+  void break_off() override { ++broken; }
+  void shed(Time back) override { ++refused, come_back = back; }
+  void fail(Failure, Time back) override { ++failed, come_back = back; }
+  int answers() const { return whole + broken + refused + failed; }
+
+  void list(Exchanges& core, int count) {
+    std::vector<ReplicaListing> entries;
+    for (int i = 1; i <= count; ++i) entries.push_back({.id = static_cast<ReplicaId>(i)});
+    core.listed(DirectoryScope::full, entries);
+  }
+  void advance_to(Exchanges& core, Time when) {
+    while (wake <= when) {
+      time = std::max(time, std::exchange(wake, kNever));
+      core.wake();
+    }
+    time = when;
+  }
+  RequestId ask(Exchanges& core) {
+    return core.take({{.due = time + 5'000'000, .prompt_tokens = 50, .max_tokens = 50}, nullptr}, *this);
+  }
+
+  static constexpr Time kNever = std::numeric_limits<Time>::max();
+  Settings settings;
+  Time time = 1'000'000'000, wake = kNever, come_back = 0;
+  std::vector<HopId> out;
+  int launched = 0, whole = 0, broken = 0, refused = 0, failed = 0;
+  std::string events;
+};
+
+StreamEvent delta(const std::string& text) {
+  StreamEvent event;
+  event.kind = EventKind::delta;
+  event.text = text;
+  return event;
+}
+
+}  // namespace
+
+TEST_CASE("an exchange without any list gets its one final answer within the slack") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  const Time start = world.time;
+  world.ask(core);
+  CHECK(world.answers() == 0);
+  world.advance_to(core, start + 5'000'000 + kBackstop);
+  CHECK(world.answers() == 1);
+  CHECK(world.come_back > 0);
+  CHECK(core.open() == 0);
+}
+
+TEST_CASE("a silent hop is closed at the deadline, before the one final answer") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  world.list(core, 3);
+  world.ask(core);
+  REQUIRE(world.out.size() == 1);
+  world.advance_to(core, world.time + 5'000'000 + kBackstop);
+  CHECK(world.out.empty());
+  CHECK(world.answers() == 1);
+}
+
+TEST_CASE("hops that fail follow one another, five at the most, and end in one answer") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  world.list(core, 20);
+  world.ask(core);
+  while (!world.out.empty()) {
+    const HopId hop = world.out.back();
+    world.out.clear();
+    core.hop_ended(hop, Outcome::connect_failed);
+    core.hop_ended(hop, Outcome::connect_failed);  // a second end of a hop is no news
+  }
+  CHECK(world.launched > 1);
+  CHECK(world.launched <= 5);
+  CHECK(world.answers() == 1);
+}
+
+TEST_CASE("after the first event there is no deadline and no other hop") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  world.list(core, 3);
+  world.ask(core);
+  const HopId hop = world.out.back();
+  core.hop_event(hop, delta("one"));
+  world.advance_to(core, world.time + 60'000'000);
+  CHECK(world.answers() == 0);
+  core.hop_ended(hop, Outcome::reset);
+  CHECK(world.broken == 1);
+  CHECK(world.launched == 1);
+  core.hop_event(hop, delta("two"));
+  CHECK(world.events == "one");
+  CHECK(world.answers() == 1);
+}
+
+TEST_CASE("a client that goes takes its hop along and gets no answer") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  world.list(core, 3);
+  core.client_gone(world.ask(core));
+  CHECK(world.out.empty());
+  world.advance_to(core, world.time + 6'000'000);
+  CHECK(world.answers() == 0);
+  CHECK(core.counters().gone == 1);
+}
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -210,6 +210,17 @@
   )");
 }
 
+TEST_CASE("a client that asks for the rest of a broken stream is served like any other") {
+  Play play;
+  play.run(R"(
+    client1 send POST /v1/chat/completions?rest=1 HTTP/1.1\r\nX-Request-ID: r1\r\nX-Retried: again\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 4000\r\nX-Attrs: prompt_len=4,max_out=4\r\nContent-Length: 2\r\n\r\n{}
+    hop1 expect POST /v1/chat/completions?rest=1 HTTP/1.1\r\n
+    hop1 expect X-Retried: again\r\n
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+  )");
+}
+
 TEST_CASE("the list is watched again at once, and a drain takes effect") {
   Play play;
   play.run(R"(
