Reread the configuration on SIGHUP and turn the route table to the new discovery

Now SIGHUP reads the file again and checks it as a whole; a bad one changes nothing. The route table drops the old call with whatever it may still answer, carries no rev over, asks the new address for the whole list at once, and keeps its targets until that has come. On rereading, the file's discovery wins over GW_DISCOVERY.

On the way: RouteTable::connect() replaced its stream from within that stream's own callback (a watch that goes on over a new connection); it is buried now.

Tests: two scenarios with a second stand-in of discovery, and the program itself under SIGHUP; they fail without it.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -87,7 +87,8 @@
     throw BadConfig("configuration: no settings");
   }
   try {
-    config.settings = wire::parse_settings(flatten(settings), read_seed(json));
+    config.settings_text = flatten(settings);
+    config.settings = wire::parse_settings(config.settings_text, read_seed(json));
   } catch (const wire::Malformed& problem) {
     throw BadConfig(std::string("configuration: ") + problem.what());
   }
@@ -130,7 +131,7 @@
   return file;
 }
 
-Config read_config(const std::string& given, const std::string& operator_path) {
+Config read_config(const std::string& given, const std::string& operator_path, Reading reading) {
   Config config;
   const std::string path = given.empty() ? from_environment("GW_CONFIG", "") : given;
   if (path.empty()) throw BadConfig("no configuration: set GW_CONFIG or give --config FILE");
@@ -142,7 +143,9 @@
   if (!json.is_object()) throw BadConfig(path + ": not an object");
   config.name = from_environment("GW_NAME", fronts::text_at(json, "/name"));
   config.listen = from_environment("GW_LISTEN", fronts::text_at(json, "/listen"));
-  config.discovery = from_environment("GW_DISCOVERY", fronts::text_at(json, "/discovery"));
+  const std::string told = fronts::text_at(json, "/discovery");
+  config.discovery =
+      reading == Reading::again && !told.empty() ? told : from_environment("GW_DISCOVERY", told);
   if (config.listen.empty()) throw BadConfig("configuration: no address to listen on");
   if (config.discovery.empty()) throw BadConfig("configuration: no discovery");
   config.peer_listen = fronts::text_at(json, "/peer_listen");
@@ -157,4 +160,19 @@
   return config;
 }
 
+std::string needs_restart(const Config& old, const Config& fresh) {
+  std::string names;
+  const auto compare = [&](const char* name, bool same) {
+    if (!same) names += (names.empty() ? "" : ", ") + std::string(name);
+  };
+  compare("name", old.name == fresh.name);
+  compare("listen", old.listen == fresh.listen);
+  compare("peers", old.peer_listen == fresh.peer_listen && old.peers_all == fresh.peers_all &&
+                       old.peers == fresh.peers);
+  compare("limits", old.sockets == fresh.sockets);
+  compare("settings", old.settings_text == fresh.settings_text);
+  compare("the operator's file", old.added == fresh.added);
+  return names;
+}
+
 }  // namespace sprucecourse
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -27,6 +27,8 @@
   std::map<std::string, std::string> targets;  // uid -> dialect
   std::string flow_collector;                  // empty: no flow records
   std::uint32_t flow_domain = 1;
+
+  bool operator==(const OperatorFile&) const = default;
 };
 OperatorFile read_operator_file(const std::string& path);
 
@@ -36,6 +38,7 @@
   std::size_t sockets = 1024;
   std::size_t most_clients = 0;  // connections of clients at a front; 0: a part of the descriptors
   Settings settings;
+  std::string settings_text;  // as flattened, to tell whether a file read again changes them
   // What the settings say that is no decision's business.
   std::vector<std::string> classes, tenants, zones, kinds, report_fields;
   Time keepalive = 5'000'000, dial_limit = 120'000, silence_limit = 3'000'000;
@@ -43,8 +46,14 @@
   OperatorFile added;
 };
 
-// GW_NAME, GW_LISTEN and GW_DISCOVERY win over the file that GW_CONFIG (or `path`) names.
+// GW_NAME, GW_LISTEN and GW_DISCOVERY win over the file that GW_CONFIG (or `path`) names. When the file is
+// read again, its `discovery` wins: the environment still holds the address of the program's start.
 // Throws BadConfig with one plain line.
-Config read_config(const std::string& path, const std::string& operator_path);
+enum class Reading { at_start, again };
+Config read_config(const std::string& path, const std::string& operator_path,
+                   Reading reading = Reading::at_start);
+
+// The fields that differ and only take effect at the next start, by name; empty if there are none.
+std::string needs_restart(const Config& old, const Config& fresh);
 
 }  // namespace sprucecourse
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,9 +28,14 @@
   return std::min<std::size_t>(wanted, limit.rlim_cur);
 }
 
+struct CommandLine {
+  std::string command = "serve", config, operator_file;
+};
+
 struct Running {
   Node& node;
   GMainLoop* loop;
+  const CommandLine& line;
 };
 
 gboolean on_terminate(gpointer data) {
@@ -40,6 +45,18 @@
   return G_SOURCE_CONTINUE;
 }
 
+// A file that makes no sense changes nothing: the router goes on with what it had.
+gboolean on_hangup(gpointer data) {
+  const auto* running = static_cast<Running*>(data);
+  try {
+    running->node.reload(read_config(running->line.config, running->line.operator_file, Reading::again));
+    logging::info("main") << "the configuration was read again";
+  } catch (const std::exception& problem) {
+    logging::error("main") << "the new configuration is not taken: " << problem.what();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
 gboolean on_counters(gpointer data) {
   std::ostringstream text;
   static_cast<Running*>(data)->node.print_counters(text);
@@ -47,18 +64,20 @@
   return G_SOURCE_CONTINUE;
 }
 
-void serve(const Config& config) {
+void serve(const CommandLine& line) {
+  const Config config = read_config(line.config, line.operator_file);
   const std::size_t limit = descriptor_limit(config.sockets);
   net::descriptors().limit = limit - std::min(kOwnDescriptors, limit / 4);
   Node node(config);
   const std::unique_ptr<GMainLoop, void (*)(GMainLoop*)> loop(g_main_loop_new(nullptr, FALSE),
                                                               g_main_loop_unref);
-  Running running{node, loop.get()};
+  Running running{node, loop.get(), line};
   g_unix_signal_add(SIGTERM, on_terminate, &running);
   g_unix_signal_add(SIGINT, on_terminate, &running);
+  g_unix_signal_add(SIGHUP, on_hangup, &running);
   g_unix_signal_add(SIGUSR1, on_counters, &running);
-  logging::info("main") << config.name << " serves on " << config.listen << ", " << net::descriptors().limit
-                        << " descriptors, " << node.targets() << " targets known";
+  logging::info("main") << config.name << " serves on " << node.front(0).address() << ", "
+                        << net::descriptors().limit << " descriptors, " << node.targets() << " targets known";
   g_main_loop_run(loop.get());
   on_counters(&running);
 }
@@ -75,11 +94,8 @@
     "  -o, --operator FILE    the operator's file: a second front, flow records\n"
     "  -l, --log-level LEVEL  debug, info (the default), warning or error\n"
     "\n"
-    "SIGUSR1 prints the counters; SIGTERM lets the router finish what it has and end.\n";
-
-struct CommandLine {
-  std::string command = "serve", config, operator_file;
-};
+    "SIGHUP reads the configuration again; SIGUSR1 prints the counters; SIGTERM lets the router finish what\n"
+    "it has and end.\n";
 
 logging::Level level_named(const std::string& name) {
   static constexpr const char* names[] = {"debug", "info", "warning", "error"};
@@ -116,13 +132,10 @@
   } else if (line.command == "version") {
     std::cout << "thornwick " << kVersion << '\n';
   } else if (line.command == "check-config") {
-    const Config config = read_config(line.config, line.operator_file);
-    dialect_named(config.added.target_dialect);
-    for (const auto& [uid, name] : config.added.targets) dialect_named(name);
-    Router(config.settings, 0);  // the module has its own checks
+    check_config(read_config(line.config, line.operator_file));
     std::cout << "the configuration is good\n";
   } else if (line.command == "serve") {
-    serve(read_config(line.config, line.operator_file));
+    serve(line);
   } else {
     throw BadConfig("no such command: " + line.command + "; see 'thornwick help'");
   }
@@ -134,6 +147,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
     return sprucecourse::run(argc, argv);
   } catch (const std::exception& problem) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -82,7 +82,7 @@
 };
 
 // A TCP connection without blocking. Its owner may bury it in any callback.
-class Stream {
+class Stream : public Mortal {
  public:
   struct Callbacks {
     std::function<void()> connected;                // only for connect()
@@ -94,7 +94,7 @@
   explicit Stream(Callbacks callbacks) : callbacks_(std::move(callbacks)) {}
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
-  ~Stream() { close(); }
+  ~Stream() override { close(); }
 
   void adopt(Owned<GSocket> socket);
   bool connect(GSocketAddress* address);  // false: failed at once
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -52,6 +52,20 @@
   if (!asking_) ask(true, 0);
 }
 
+// Guards against a mixture of two sources: the old call is dropped with whatever it may still answer, and the
+// old `rev` is not carried over, for the new address need not count as the old one did.
+void RouteTable::turn_to(const std::string& address) {
+  auto parsed = parse_address(address);
+  if (!parsed) throw NetError("discovery: not an address: " + address);
+  address_ = std::move(parsed);
+  options_.address = address;
+  limit_.stop();
+  drop_stream();
+  has_rev_ = false;
+  watching_ = true;
+  ask(true, 0);
+}
+
 void RouteTable::ask(bool whole, Time wait) {
   asking_ = true;
   ++counters_.calls;
@@ -68,7 +82,15 @@
   connect();
 }
 
+// It may be one of this stream's own callbacks that wants another one.
+void RouteTable::drop_stream() {
+  if (!stream_) return;
+  stream_->close();
+  bury(std::move(stream_));
+}
+
 void RouteTable::connect() {
+  drop_stream();
   stream_ = std::make_unique<Stream>(
       Stream::Callbacks{.connected = [this] { stream_->write(request_); },
                         .arrived = [this](std::string_view bytes) { arrived(bytes); },
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -40,6 +40,10 @@
   void watch() override;
   void fetch() override;
 
+  // Discovery has moved. What is known of the targets stays until the new address has told its whole list.
+  // Throws NetError, and then nothing has changed.
+  void turn_to(const std::string& address);
+
   const Route* find(ReplicaId target) const;
   // Does the newest list allow new work for this target?
   bool may_send(ReplicaId target) const;
@@ -49,6 +53,7 @@
  private:
   void ask(bool whole, Time wait);
   void connect();
+  void drop_stream();
   void arrived(std::string_view bytes);
   void answered();
   void failed(const char* why);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -22,6 +22,17 @@
   return *found;
 }
 
+void check_config(const Config& config) {
+  dialect_named(config.added.target_dialect);
+  for (const auto& [uid, name] : config.added.targets) dialect_named(name);
+  for (const auto& [what, address] : {std::pair{"listen", config.listen}, {"discovery", config.discovery}}) {
+    if (!net::parse_address(address)) {
+      throw BadConfig(std::string("configuration: ") + what + " is not an address: " + address);
+    }
+  }
+  Router(config.settings, 0);  // the module has its own checks
+}
+
 Node::Node(const Config& config)
     : config_(config),
       names_{config.classes, config.tenants},
@@ -86,6 +97,18 @@
 
 bool Node::ready() const { return routes_.size() > 0 || net::now_us() - started_ > kReadyAnyway; }
 
+void Node::reload(const Config& config) {
+  check_config(config);
+  if (const auto names = needs_restart(config_, config); !names.empty()) {
+    logging::warning("main") << "only a restart brings what is new in: " << names;
+  }
+  ++reloads_;
+  if (config.discovery == config_.discovery) return;
+  logging::info("main") << "discovery moves from " << config_.discovery << " to " << config.discovery;
+  config_.discovery = config.discovery;
+  routes_.turn_to(config.discovery);
+}
+
 void Node::wind_down(std::function<void()> done) {
   done_ = std::move(done);
   for (auto& front : fronts_) front->wind_down();
@@ -124,6 +147,7 @@
        << " drained_meanwhile=" << s.drained_meanwhile << " probes=" << s.probes;
   const auto& d = routes_.counters();
   line << " list_calls=" << d.calls << " list_failures=" << d.failures << " list_entries=" << d.changes;
+  line << " reloads=" << reloads_;
   if (flows_) line << " flow_records=" << flows_->sent();
 }
 
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -32,11 +32,18 @@
 // The dialect of that name; throws BadConfig.
 const fronts::Dialect& dialect_named(const std::string& name);
 
+// What reading alone does not show: addresses, dialects, the module's own checks. Throws with one plain line.
+void check_config(const Config& config);
+
 class Node {
  public:
   // Serves from then on, as long as GLib's main loop runs. Throws BadConfig or NetError.
   explicit Node(const Config& config);
 
+  // A new configuration under load. Discovery's address takes effect at once, all else at the next start.
+  // Throws what check_config throws, and then nothing has changed.
+  void reload(const Config& config);
+
   // A planned restart: all that comes is still taken and answered. `done` is called once nobody is left.
   void wind_down(std::function<void()> done);
 
@@ -66,6 +73,7 @@
   std::vector<std::unique_ptr<net::Clients>> fronts_;
   std::function<void()> done_;
   net::Timer quiet_;
+  std::uint64_t reloads_ = 0;
   Time started_ = net::now_us(), quiet_since_ = 0;
 };
 
--- a/tests/net/config.cpp
+++ b/tests/net/config.cpp
@@ -1,12 +1,13 @@
 // The configuration: flattened settings, and one plain line for what makes no sense.
-#include "config.hpp"
-
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
+#include "node.hpp"
+
 using namespace sprucecourse;
 
 namespace {
@@ -49,6 +50,31 @@
   CHECK(config.keepalive == 4'000'000);
 }
 
+TEST_CASE("a file that is read again says where discovery is, not the environment of the start") {
+  const TempFile file(with_settings(R"({"grades":[{"name":"chat","objective":1,"deadline":2}]})"));
+  setenv("GW_DISCOVERY", "127.0.0.1:2", 1);
+  const Config old = read_config(file.path, "");
+  CHECK(old.discovery == "127.0.0.1:2");
+  Config fresh = read_config(file.path, "", Reading::again);
+  unsetenv("GW_DISCOVERY");
+  CHECK(fresh.discovery == "127.0.0.1:1");
+  CHECK(needs_restart(old, fresh).empty());  // discovery needs none
+  fresh.listen = "127.0.0.1:3";
+  fresh.settings_text += "rank=2\n";
+  CHECK(needs_restart(old, fresh) == "listen, settings");
+}
+
+TEST_CASE("a configuration that reads well is still checked as a whole") {
+  const TempFile file(with_settings(R"({"grades":[{"name":"chat","objective":1,"deadline":2}]})"));
+  Config config = read_config(file.path, "");
+  CHECK_NOTHROW(check_config(config));
+  config.discovery = "nowhere";
+  CHECK_THROWS_WITH(check_config(config), "configuration: discovery is not an address: nowhere");
+  config.discovery = "127.0.0.1:1";
+  config.settings.classes.clear();
+  CHECK_THROWS(check_config(config));
+}
+
 TEST_CASE("a bad configuration is refused with one line that says why") {
   const auto& [text, why] = GENERATE(table<std::string, std::string>({
       {"{", ""},
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -125,15 +125,16 @@
 Play::Play(const Setup& setup) {
   const auto saved = net::descriptors();
   net::descriptors().limit = std::max<std::size_t>(saved.limit, 256);
-  Config config;
+  Config& config = config_;
   std::string targets;
   for (int i = 0; i < setup.boxes; ++i) {
-    listen(boxes_.emplace_back(), true);
+    listen(boxes_.emplace_back(), "");
     targets += (i > 0 ? ",{\"uid\":\"s-0" : "{\"uid\":\"s-0") + std::to_string(i + 1) + R"(","endpoint":")" +
                boxes_.back()->address() + R"(","az":"a","model":"m","pod_group":1,"state":")" +
                setup.known_state + R"(","capacity_hint":1.0,"boot_ms":0})";
   }
-  listen(list_, false);
+  listen(list_, "list");
+  listen(new_list_, "newlist");
   config.name = "test";
   config.listen = config.added.messages_listen = "127.0.0.1:0";
   config.discovery = list_->address();
@@ -160,16 +161,20 @@
   }
 }
 
-void Play::listen(std::unique_ptr<net::Listener>& listener, bool box) {
+// Without the name of an actor it is a box, whose connections become actors with each request.
+void Play::listen(std::unique_ptr<net::Listener>& listener, const std::string& actor) {
   listener = std::make_unique<net::Listener>(
       "127.0.0.1:0", [] { return true; },
-      [this, box](net::Owned<GSocket> socket) {
+      [this, actor](net::Owned<GSocket> socket) {
         auto line = std::make_shared<Line>();
         accepted_.push_back(line);
-        if (!box) actors_["list"] = line;
+        if (!actor.empty()) {
+          const int count = ++connections_[actor];
+          actors_[count == 1 ? actor : actor + std::to_string(count)] = line;
+        }
         Line* raw = line.get();
-        line->stream = std::make_unique<net::Stream>(raw->callbacks([this, box, raw] {
-          if (!box) return;
+        line->stream = std::make_unique<net::Stream>(raw->callbacks([this, actor, raw] {
+          if (!actor.empty()) return;
           for (auto& each : accepted_) {
             if (each.get() == raw) return box_arrived(each);
           }
@@ -259,6 +264,9 @@
     expect(actor, read_text(rest));
   } else if (verb == "close" && actor == "router") {
     node_->wind_down([] {});
+  } else if (verb == "turn") {
+    config_.discovery = new_list_->address();
+    node_->reload(config_);
   } else if (verb == "close") {
     line(actor).stream->close();
   } else {
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -3,9 +3,11 @@
 //   ACTOR send TEXT      ACTOR expect TEXT      ACTOR expect close      ACTOR close      wait MS
 //
 // Actors: clientN (the platform's front), writerN (the messages front), hopN (the N-th request that reached
-// any stand-in box), list (discovery's stand-in: `send` answers the call that waits) and router (`expect`
-// reads its counters, `close` is a planned restart). `expect` goes on reading behind what it found last;
-// `expect close` also wants nothing left unread. Texts know \r \n \\ and the words in play.cpp, as $done.
+// any stand-in box), list (discovery's stand-in: `send` answers the call that waits), newlist (another one,
+// to which `router turn` moves the router; their later connections are list2, newlist2, ...) and router
+// (`expect` reads its counters, `close` is a planned restart). `expect` goes on reading behind what it found
+// last; `expect close` also wants nothing left unread. Texts know \r \n \\ and the words in play.cpp, as
+// $done.
 #pragma once
 
 #include <deque>
@@ -42,16 +44,18 @@
  private:
   struct Line;
   Line& line(const std::string& actor);
-  void listen(std::unique_ptr<net::Listener>& listener, bool box);
+  void listen(std::unique_ptr<net::Listener>& listener, const std::string& actor);
   void box_arrived(std::shared_ptr<Line> line);
   void step(const std::string& text);
   bool wait_for(const std::function<bool()>& done);
   std::string counters() const;
 
   std::vector<std::unique_ptr<net::Listener>> boxes_;
-  std::unique_ptr<net::Listener> list_;
+  std::unique_ptr<net::Listener> list_, new_list_;
+  Config config_;
   std::vector<std::shared_ptr<Line>> accepted_;
   std::map<std::string, std::shared_ptr<Line>> actors_;
+  std::map<std::string, int> connections_;  // to discovery's stand-ins
   int hops_ = 0;
   std::unique_ptr<Node> node_;
 };
--- /dev/null
+++ b/tests/net/process.cpp
@@ -0,0 +1,88 @@
+// The program itself: its signals, and what it says on standard error.
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+
+#include "net/loop.hpp"
+
+using namespace sprucecourse;
+
+namespace {
+
+// The program under test, with its standard error read line by line. Every wait is for something it says.
+class Program {
+ public:
+  explicit Program(const std::string& config) {
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    pid_ = fork();
+    REQUIRE(pid_ >= 0);
+    if (pid_ == 0) {
+      dup2(ends[1], STDERR_FILENO);
+      execl(THORNWICK, THORNWICK, "--config", config.c_str(), nullptr);
+      _exit(127);
+    }
+    close(ends[1]);
+    said_ = fdopen(ends[0], "r");
+  }
+  ~Program() {
+    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+    fclose(said_);
+  }
+
+  // The first line from here on with this text in it; empty if the program ends without it.
+  std::string says(const std::string& text) {
+    std::array<char, 4096> line;
+    while (fgets(line.data(), line.size(), said_) != nullptr) {
+      if (std::string(line.data()).find(text) != std::string::npos) return line.data();
+    }
+    return {};
+  }
+  void signal(int number) { kill(pid_, number); }
+  int status() {
+    int status = -1;
+    waitpid(std::exchange(pid_, 0), &status, 0);
+    return status;
+  }
+
+ private:
+  pid_t pid_ = 0;
+  FILE* said_ = nullptr;
+};
+
+void write_config(const std::string& path, const std::string& discovery) {
+  const std::string fresh = path + ".new";
+  std::ofstream(fresh)
+      << R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" << discovery
+      << R"(","seed":"ff","settings":{"grades":[{"name":"chat","objective":1,"deadline":2}]}})";
+  REQUIRE(std::rename(fresh.c_str(), path.c_str()) == 0);
+}
+
+}  // namespace
+
+TEST_CASE("SIGHUP reads the file again, a bad one changes nothing, and SIGTERM still ends the program well") {
+  const std::string path = "thornwick-process-" + std::to_string(getpid()) + ".json";
+  write_config(path, "127.0.0.1:1");
+  {
+    Program program(path);
+    CHECK(program.says("n1 serves on 127.0.0.1:") != "");
+    write_config(path, "no address at all");
+    program.signal(SIGHUP);
+    CHECK(program.says("is not taken: ").find("no address at all") != std::string::npos);
+    write_config(path, "127.0.0.1:2");
+    program.signal(SIGHUP);
+    CHECK(program.says("discovery moves from 127.0.0.1:1 to 127.0.0.1:2") != "");
+    CHECK(program.says("the configuration was read again") != "");
+    program.signal(SIGTERM);
+    CHECK(program.says("winding down") != "");
+    program.signal(SIGHUP);
+    CHECK(program.says("the configuration was read again") != "");
+    CHECK(program.status() == 0);
+  }
+  std::remove(path.c_str());
+}
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -247,6 +247,46 @@
   )");
 }
 
+TEST_CASE("a new address of discovery is asked for its whole list at once, and the old one is not heard") {
+  Play play;
+  play.run(R"(
+    list expect GET /registry/instances?after=1&wait_ms=0 
+    list send $json({"rev":7,"all":false,"targets":[]})
+    list expect GET /registry/instances?after=7&wait_ms=5000 
+    router turn
+    newlist expect GET /registry/instances HTTP/1.1\r\n
+    list expect Host: 
+    list expect \r\n\r\n
+    list expect close
+    # The targets stay until the new list tells, also while the router winds down.
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    router close
+    newlist send $json({"rev":2,"all":true,"targets":[]})
+    newlist expect GET /registry/instances?after=2&wait_ms=5000 
+    client1 send $ask(r2,300)
+    client1 expect HTTP/1.1 503 
+    router expect hops=1
+    router expect reloads=1
+    router expect list_failures=0
+  )");
+}
+
+TEST_CASE("a move of discovery in the middle of its answer begins anew") {
+  Play play;
+  play.run(R"(
+    list expect GET /registry/instances
+    list send HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{"rev":9,
+    router turn
+    newlist expect GET /registry/instances HTTP/1.1\r\n
+    newlist send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
+    newlist2 expect GET /registry/instances HTTP/1.1\r\n
+    newlist2 send $json({"rev":1,"all":true,"targets":[]})
+    newlist2 expect GET /registry/instances?after=1&wait_ms=5000 
+  )");
+}
+
 TEST_CASE("a planned restart loses nothing that was taken, and sends its clients elsewhere") {
   Play play;
   play.run(R"(
