End silent, idle and misbehaving client connections in time, and evict crowds

A probe that logged each connection showed why: of 3,916 connections at one router 953 never said a byte and 1,153 asked for readiness once and stayed. clients.cpp kept both for 60 s (kIdleLimit), so they filled the clients' part of the descriptors (378), and crowded() counted lines, not requests. Each accept in that state polled every idle line (close_idle), which took the CPU. The probe also showed 2,700 requests with empty bodies reaching the module and two boxes each, and 118 with the id of another client's open request. Ruled out: the readers of heads and bodies, which refused all that they should.

Now connections wait in two queues with one timer: 2.4 s for the first request from connecting on, 2.2 s between requests; in a crowd the one that waited longest goes first, without a look at the others. Only requests in work count against the clients' part. Bad requests end their connection, half-closed so that the answer survives; an id in work gets 409; bodies that are no JSON object, repeated X- headers, two codings, bare line feeds, endless blank lines, numbers beyond reason are refused, and a wait is 120 s at most, so that no alarm stays for an hour. Bodies still being read count against the memory, whose bounds now follow the configured limit. The reader skips what it has consumed instead of moving the rest for each piece.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -152,6 +152,7 @@
   config.peers_all = fronts::text_at(json, "/peers_all");
   config.peers = texts_at(json, "/peers");
   if (const auto sockets = fronts::count_at(json, "/limits/sockets"); sockets > 0) config.sockets = sockets;
+  if (const auto memory = fronts::count_at(json, "/limits/memory_mb"); memory > 0) config.memory_mb = memory;
   read_settings(json, config);
   if (element known; json.at_key("known").get(known) == simdjson::SUCCESS) {
     config.known = simdjson::to_string(known);
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -35,7 +35,7 @@
 struct Config {
   std::string name, listen, discovery, peer_listen, peers_all;
   std::vector<std::string> peers;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory_mb = 192;
   std::size_t most_clients = 0;  // connections of clients at a front; 0: a part of the descriptors
   Settings settings;
   std::string settings_text;  // as flattened, to tell whether a file read again changes them
--- a/src/fronts/dialect.cpp
+++ b/src/fronts/dialect.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 #include "fronts/json.hpp"
 
@@ -12,7 +13,11 @@
 using net::BadMessage;
 
 constexpr double kLettersPerToken = 4;
-constexpr Time kOnTheWay = 1'000;  // what a request has used of its time when it is read
+constexpr Time kOnTheWay = 1'000;       // what a request has used of its time when it is read
+constexpr double kLongestWait = 120e3;  // milliseconds; a client that would wait longer is answered then
+constexpr double kMostTokens = 1e6;     // of a prompt or an answer
+constexpr double kMostWork = 3600e6;    // microseconds
+constexpr std::size_t kLongestId = 256;
 
 std::uint64_t hash(std::string_view text) {
   std::uint64_t value = 0xcbf29ce484222325ULL;
@@ -29,11 +34,11 @@
   return std::max<std::uint64_t>(1, whole ? value : hash(text));
 }
 
-double amount(std::string_view text, const char* what) {
+double amount(std::string_view text, const char* what, double most) {
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value) || value < 0 ||
-      value > 1e12) {
+      value > most) {
     throw BadMessage(400, std::string("not a number: ") + what);
   }
   return value;
@@ -53,9 +58,9 @@
     if (equals == std::string_view::npos) throw BadMessage(400, "attribute without a value");
     const auto name = part.substr(0, equals), value = part.substr(equals + 1);
     if (name == "prefix") request.prefix = key_of(value);
-    if (name == "prompt_len") request.prompt_tokens = amount(value, "prompt_len");
-    if (name == "prefix_len") request.prefix_tokens = amount(value, "prefix_len");
-    if (name == "max_out") request.max_tokens = amount(value, "max_out");
+    if (name == "prompt_len") request.prompt_tokens = amount(value, "prompt_len", kMostTokens);
+    if (name == "prefix_len") request.prefix_tokens = amount(value, "prefix_len", kMostTokens);
+    if (name == "max_out") request.max_tokens = amount(value, "max_out", kMostTokens);
   }
 }
 
@@ -80,22 +85,35 @@
 Request read_request(const Call& call, const Names& names, Time now) {
   const auto& head = call.head;
   Request request;
+  // Guards against two readers of one head that take different ones of two values.
+  for (const auto* name : {"X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Route-Key", "X-Timeout-Ms",
+                           "X-Attrs", "X-Retried", "X-Cost", "Host"}) {
+    if (head.count(name) > 1) throw BadMessage(400, std::string("more than one ") + name);
+  }
   const auto* id = head.find("X-Request-ID");
-  if (id == nullptr || id->empty()) throw BadMessage(400, "no X-Request-ID");
+  if (id == nullptr || id->empty() || id->size() > kLongestId) throw BadMessage(400, "no good X-Request-ID");
   request.cls = static_cast<std::uint8_t>(index_of(names.classes, head.find("X-Priority-Class"), "class"));
   if (!names.tenants.empty()) {
     request.tenant = static_cast<std::uint16_t>(index_of(names.tenants, head.find("X-Tenant-Id"), "tenant"));
   }
   const auto* timeout = head.find("X-Timeout-Ms");
   if (timeout == nullptr) throw BadMessage(400, "no X-Timeout-Ms");
-  request.due = now + static_cast<Time>(std::min(amount(*timeout, "X-Timeout-Ms"), 3.6e6) * 1000) - kOnTheWay;
+  const double wait = amount(*timeout, "X-Timeout-Ms", std::numeric_limits<double>::max());
+  request.due = now + static_cast<Time>(std::min(wait, kLongestWait) * 1000) - kOnTheWay;
   if (const auto* key = head.find("X-Route-Key")) request.session = key_of(*key);
-  if (const auto* cost = head.find("X-Cost")) request.work_hint = amount(*cost, "X-Cost");
+  if (const auto* cost = head.find("X-Cost")) request.work_hint = amount(*cost, "X-Cost", kMostWork);
   if (const auto* retried = head.find("X-Retried")) {
     request.resumed = *retried == "again";
     request.client_repeat = !request.resumed;
   }
   if (const auto* attributes = head.find("X-Attrs")) read_attributes(*attributes, request);
+  // Guards the egress targets against bodies that none of them could use.
+  simdjson::dom::parser parser;
+  Json body;
+  if (parser.parse(call.body->data(), call.body->size()).get(body) != simdjson::SUCCESS ||
+      !body.is_object()) {
+    throw BadMessage(400, "the body is not a JSON object");
+  }
   if (request.prompt_tokens <= 0 || request.max_tokens <= 0) {
     const Chat chat = call.dialect->read_chat(*call.body);
     double letters = 0;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,16 +9,19 @@
 namespace sprucecourse::net {
 namespace {
 
-constexpr Time kIdleLimit = 60'000'000;      // between the requests of a connection
-constexpr Time kReadLimit = 10'000'000;      // for a request, from its first byte
-constexpr Time kWriteLimit = 10'000'000;     // for a client to take what was written
-constexpr Time kCloseLimit = 1'000'000;      // for the last bytes before a connection is closed
-constexpr Time kNewComers = 500'000;         // after SIGTERM new connections still come this long
-constexpr Time kSweepEvery = 100'000;        // idle connections are closed from then on
-constexpr Time kCrowdedAbsence = 1'000'000;  // advised when there is no memory for a request
-constexpr std::size_t kCongested = 256 * 1024;
-constexpr std::size_t kMostAhead = 64 * 1024;          // bytes read while an answer is still going out
-constexpr std::size_t kMostBodies = 64 * 1024 * 1024;  // of all requests in work
+// A client is owed an answer or a close within 3 s of connecting, and may keep a connection without a request
+// for 2 s; both leave room for the time between two rounds of tend().
+constexpr Time kReadLimit =
+    2'400'000;  // for a request: the first from the start, others from their first byte
+constexpr Time kIdleLimit = 2'200'000;  // between the requests of a connection
+constexpr Time kTendEvery = 200'000;
+constexpr Time kFreshGrace = 500'000;          // what a new connection has to say comes sooner than this
+constexpr Time kWriteLimit = 10'000'000;       // for a client to take what was written
+constexpr Time kCloseLimit = 1'000'000;        // for the last bytes before a connection is closed
+constexpr Time kNewComers = 500'000;           // after SIGTERM new connections still come this long
+constexpr Time kSweepEvery = 100'000;          // idle connections are closed from then on
+constexpr std::size_t kMostAhead = 64 * 1024;  // bytes read while an answer is still going out
+constexpr std::size_t kMostDiscarded = 1024 * 1024;  // bytes read for nothing, so that an answer survives
 
 std::string seconds(Time time) {
   char text[32];
@@ -38,16 +41,22 @@
                  .drained = [this] { drained(); },
                  .ended = [this] { leave(); }}) {
     stream_.adopt(std::move(socket));
-    limit_.start(kIdleLimit, [this] { leave(); });
+    wait_in(&owner_.fresh_);
   }
 
-  // Between two requests, with nothing of the next one in the kernel. A connection that has not had its
-  // first request yet is not idle: the client opened it because it has one.
-  bool idle() const {
-    return state_ == State::idle && !closing_ && had_one_ && reader_.between_messages() &&
-           !stream_.readable_now();
+  // Between two requests (or before the first), with nothing of the next one here or in the kernel.
+  bool nothing_to_read() const {
+    return state_ == State::idle && !closing_ && reader_.between_messages() && !stream_.readable_now();
+  }
+  Time waiting_since() const { return waiting_since_; }
+
+  // It has waited too long: for its first request, or for the next one.
+  void waited_out() {
+    if (state_ == State::reading) return refuse(too_slow());
+    if (stream_.readable_now()) return wait_in(waits_in_);  // it is just about to be read
+    if (waits_in_ == &owner_.fresh_) ++owner_.counters_.silent;
+    leave();
   }
-  Time idle_since() const { return idle_since_; }
 
   // The client has gone, or is sent away: whatever it had asked for is over.
   void leave() {
@@ -55,8 +64,11 @@
     stream_.close();
     limit_.stop();
     next_.stop();
-    owner_.held_bytes_ -= std::exchange(held_, 0);  // not at the burial, which the owner may not live to see
-    if (state_ == State::busy) owner_.core_.client_gone(exchange_);
+    wait_in(nullptr);
+    // Not at the burial, which the owner may not live to see.
+    const bool busy = state_ == State::busy;
+    no_request();
+    if (busy) owner_.core_.client_gone(exchange_);
     owner_.gone(*this);
   }
 
@@ -78,7 +90,7 @@
     if (owner_.winding_down_) keep_ = false;
     stream_.write(out += write_chunk(bytes));
     // Guards the memory against clients that read slowly: their egress target has to wait.
-    if (stream_.unsent() > kCongested && !std::exchange(congested_, true)) {
+    if (stream_.unsent() > owner_.options_.congested && !std::exchange(congested_, true)) {
       owner_.core_.client_congested(exchange_, true);
       limit_.start(kWriteLimit, [this] { leave(); });
     }
@@ -90,7 +102,7 @@
   }
 
   void break_off() override {
-    state_ = State::idle;
+    no_request();
     close_soon();
   }
 
@@ -112,7 +124,13 @@
 
   const fronts::Dialect& dialect() const { return *owner_.options_.dialect; }
 
+  static BadMessage too_slow() { return BadMessage(408, "the request did not come in time"); }
+
   void arrived(std::string_view bytes) {
+    if (closing_) {
+      if ((discarded_ += bytes.size()) > kMostDiscarded) leave();
+      return;
+    }
     reader_.feed(bytes);
     if (state_ == State::busy) {
       if (reader_.held() > kMostAhead) stream_.hold(true);
@@ -138,7 +156,11 @@
       state_ = State::reading;
       keep_ = false;  // until all of it is read: what follows a broken request cannot be trusted
       begun_ = now_us();
-      limit_.start(kReadLimit, [this] { refuse(BadMessage(408, "the request did not come in time")); });
+      // The first one's time runs since the connection was accepted, whatever has come of it.
+      if (waits_in_ != &owner_.fresh_) {
+        wait_in(nullptr);
+        limit_.start(kReadLimit, [this] { refuse(too_slow()); });
+      }
     }
     switch (reader_.next()) {
       case MessageReader::Piece::none: return false;
@@ -151,6 +173,8 @@
       case MessageReader::Piece::body:
         body_ += reader_.take_body();
         if (body_.size() > kMaxBody) throw BadMessage(413, "body too large");
+        hold_bytes(body_.size());
+        if (owner_.commons_.held_bytes > owner_.options_.most_body_bytes) return crowded();
         return true;
       case MessageReader::Piece::end: take(); return true;
     }
@@ -159,12 +183,15 @@
 
   void take() {
     limit_.stop();
+    wait_in(nullptr);
     const Head& head = reader_.head();
-    keep_ = head.keeps_alive();
     head_out_ = congested_ = false;
     writer_.reset();
     const auto path = std::string_view(head.target).substr(0, head.target.find('?'));
-    if (head.method == "GET" && path == "/health/ready") return health();
+    if (head.method == "GET" && path == "/health/ready") {
+      keep_ = head.keeps_alive();
+      return health();
+    }
     if (path != dialect().path()) throw BadMessage(404, "no such path");
     if (head.method != "POST") throw BadMessage(405, "not a POST");
     auto call = std::make_shared<fronts::Call>();
@@ -172,19 +199,53 @@
     call->head = head;
     call->body = std::make_shared<const std::string>(std::exchange(body_, {}));
     core::Arrival arrival{fronts::read_request(*call, owner_.names_, begun_), call};
-    request_id_ = *head.find("X-Request-ID");
-    if (owner_.crowded() || owner_.held_bytes_ + call->body->size() > kMostBodies) {
-      ++owner_.counters_.crowded;
-      keep_ = false;
-      return shed(kCrowdedAbsence);
+    const std::string& id = *head.find("X-Request-ID");
+    if (owner_.busy_ >= owner_.options_.most_connections) {
+      crowded();
+      return;
     }
-    held_ = call->body->size();
-    owner_.held_bytes_ += held_;
+    // Guards against a second run under the id of a request that is still in work, whoever sends it.
+    if (!owner_.commons_.open_ids.insert(id).second) throw BadMessage(409, "this id has a request in work");
+    request_id_ = id;
+    keep_ = head.keeps_alive();
     call.reset();
     state_ = State::busy;
+    ++owner_.busy_;
     // The core may answer within this call; the line is idle again then.
-    const RequestId id = owner_.core_.take(std::move(arrival), *this);
-    if (state_ == State::busy) exchange_ = id;
+    const RequestId exchange = owner_.core_.take(std::move(arrival), *this);
+    if (state_ == State::busy) exchange_ = exchange;
+  }
+
+  // There is no room for this request: nothing of it is kept, and its connection goes too.
+  bool crowded() {
+    ++owner_.counters_.crowded;
+    keep_ = false;
+    shed(owner_.options_.crowded_absence);
+    return false;
+  }
+
+  void hold_bytes(std::size_t size) {
+    owner_.commons_.held_bytes += size - held_;
+    held_ = size;
+  }
+
+  // Whatever was being read or in work is over.
+  void no_request() {
+    hold_bytes(0);
+    if (std::exchange(state_, State::idle) != State::busy) return;
+    --owner_.busy_;
+    owner_.commons_.open_ids.erase(request_id_);
+  }
+
+  // A connection without a request in work stands in one of its owner's queues, or has a limit of its own.
+  void wait_in(Waiting* queue) {
+    if (waits_in_ != nullptr) waits_in_->erase(place_);
+    waits_in_ = queue;
+    if (queue == nullptr) return;
+    place_ = queue->insert(queue->end(), this);
+    waiting_since_ = now_us();
+    if (!owner_.tending_.running())
+      owner_.tending_.start(kTendEvery, [this_owner = &owner_] { this_owner->tend(); });
   }
 
   void health() {
@@ -194,8 +255,10 @@
     answered();
   }
 
+  // Whoever sends what cannot be read, or not be used, is sent away: its connection is not kept.
   void refuse(const BadMessage& bad) {
     ++owner_.counters_.bad;
+    keep_ = false;
     logging::debug("clients") << "bad request: " << bad.what();
     auto text = owner_.options_.dialect->error(
         bad.status == 413 ? fronts::Refusal::too_large : fronts::Refusal::bad_request, bad.what());
@@ -214,30 +277,35 @@
   }
 
   void answered() {
-    state_ = State::idle;
-    had_one_ = true;
-    owner_.held_bytes_ -= std::exchange(held_, 0);
+    no_request();
     writer_.reset();
-    body_.clear();
-    idle_since_ = now_us();
+    body_ = {};
     if (!keep_) return close_soon();
-    limit_.start(kIdleLimit, [this] { leave(); });
+    wait_in(&owner_.idle_);
     stream_.hold(false);
     if (!reader_.between_messages()) next_.start(0, [this] { work(); });
   }
 
   void close_soon() {
     closing_ = true;
-    if (stream_.unsent() == 0) return leave_later();
+    wait_in(nullptr);
     limit_.start(kCloseLimit, [this] { leave(); });
+    if (stream_.unsent() == 0) last_byte_out();
   }
 
-  void leave_later() {
-    next_.start(0, [this] { leave(); });
+  // Guards the answer against a reset: closing a connection with unread input would send one, and the client
+  // might lose what it has not read yet. It is told the end, and what it still sends is read for nothing.
+  void last_byte_out() {
+    if (reader_.between_messages() && !stream_.readable_now()) {
+      next_.start(0, [this] { leave(); });
+    } else if (!std::exchange(finished_, true)) {
+      stream_.finish_sending();
+      stream_.hold(false);
+    }
   }
 
   void drained() {
-    if (closing_) return leave_later();
+    if (closing_) return last_byte_out();
     if (std::exchange(congested_, false)) {
       limit_.stop();
       if (state_ == State::busy) owner_.core_.client_congested(exchange_, false);
@@ -252,36 +320,56 @@
   std::string body_, request_id_;
   std::unique_ptr<fronts::EventWriter> writer_;
   RequestId exchange_ = 0;
-  Time begun_ = 0, idle_since_ = now_us();
-  std::size_t held_ = 0;
+  Waiting* waits_in_ = nullptr;
+  Waiting::iterator place_;
+  Time begun_ = 0, waiting_since_ = 0;
+  std::size_t held_ = 0, discarded_ = 0;
   bool keep_ = true, head_out_ = false, congested_ = false;
-  bool closing_ = false, left_ = false, working_ = false, had_one_ = false;
+  bool closing_ = false, finished_ = false, left_ = false, working_ = false;
 };
 
-Clients::Clients(Options options, const fronts::Names& names, core::Exchanges& core)
-    : options_(std::move(options)), names_(names), core_(core) {
+Clients::Clients(Options options, const fronts::Names& names, core::Exchanges& core, Commons& commons)
+    : options_(std::move(options)), names_(names), core_(core), commons_(commons) {
   listener_ = std::make_unique<Listener>(
       options_.address, [this] { return room(); }, [this](Owned<GSocket> s) { accepted(std::move(s)); });
 }
 
 Clients::~Clients() = default;
 
-// A new client is worth more than an idle connection, which its client opens anew when it needs it. Beyond
-// the share of the clients others are still let in as long as there are descriptors: their requests are
-// refused at once. Guards against requests that nobody reads until their clients give up.
-bool Clients::room() {
-  if (crowded()) close_idle();
-  return descriptors().held + 2 < descriptors().limit;
+// A new client is worth more than a connection without a request, which its client opens anew when it needs
+// it. Guards the usual clients against crowds that connect and say nothing: beyond the share of the clients a
+// new connection takes the place of one that had time to speak, or else of one between two requests; and
+// what the egress targets need is never given away.
+void Clients::make_room() {
+  if (lines_.size() > options_.most_connections && !evict(fresh_, kFreshGrace)) evict(idle_, 0);
+  if (lines_.size() >= options_.most_lines) evict(fresh_, 0);
 }
 
-bool Clients::crowded() const { return lines_.size() > options_.most_connections; }
+bool Clients::room() const {
+  return lines_.size() < options_.most_lines && descriptors().held + 2 < descriptors().limit;
+}
 
-void Clients::close_idle() {
-  Line* oldest = nullptr;
-  for (auto& [line, owned] : lines_) {
-    if (line->idle() && (oldest == nullptr || line->idle_since() < oldest->idle_since())) oldest = line;
+// Closes the first of a queue that has waited this long and of which nothing is left to read.
+bool Clients::evict(Waiting& from, Time older_than) {
+  const Time now = now_us();
+  for (Line* line : from) {
+    if (now - line->waiting_since() < older_than) return false;
+    if (!line->nothing_to_read()) continue;
+    ++counters_.evicted;
+    line->leave();
+    return true;
   }
-  if (oldest != nullptr) oldest->leave();
+  return false;
+}
+
+// Those that have waited too long. One timer for all: a crowd has no timers of its own.
+void Clients::tend() {
+  const auto close = [now = now_us()](Waiting& queue, Time limit) {
+    while (!queue.empty() && now - queue.front()->waiting_since() >= limit) queue.front()->waited_out();
+  };
+  close(fresh_, kReadLimit);
+  close(idle_, kIdleLimit);
+  if (!fresh_.empty() || !idle_.empty()) tending_.start(kTendEvery, [this] { tend(); });
 }
 
 void Clients::accepted(Owned<GSocket> socket) {
@@ -289,6 +377,7 @@
   auto line = std::make_unique<Line>(*this, std::move(socket));
   Line* key = line.get();
   lines_.emplace(key, std::move(line));
+  make_room();
 }
 
 void Clients::gone(Line& line) {
@@ -305,11 +394,8 @@
 }
 
 void Clients::sweep() {
-  std::vector<Line*> idle;
-  for (auto& [line, owned] : lines_) {
-    if (line->idle()) idle.push_back(line);
+  while (evict(idle_, 0)) {
   }
-  for (Line* line : idle) line->leave();
   winding_.start(kSweepEvery, [this] { sweep(); });
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -1,8 +1,10 @@
 // The clients: listens, reads their requests, and carries each answer back over the connection it came on.
 #pragma once
 
+#include <list>
 #include <map>
-#include <set>
+#include <string>
+#include <unordered_set>
 
 #include "core/exchanges.hpp"
 #include "fronts/dialect.hpp"
@@ -11,7 +13,13 @@
 namespace sprucecourse::net {
 
 struct ClientCounters {
-  std::uint64_t accepted = 0, bad = 0, health = 0, crowded = 0;
+  std::uint64_t accepted = 0, bad = 0, health = 0, crowded = 0, silent = 0, evicted = 0;
+};
+
+// What all fronts of a router share.
+struct Commons {
+  std::unordered_set<std::string> open_ids;  // of the requests in work
+  std::size_t held_bytes = 0;                // of their bodies, those that are still coming included
 };
 
 class Clients {
@@ -19,11 +27,15 @@
   struct Options {
     std::string address;
     const fronts::Dialect* dialect = nullptr;
-    std::size_t most_connections = 400;
+    std::size_t most_connections = 400;  // with a request in work; more are refused
+    std::size_t most_lines = 450;        // whatever they do
+    std::size_t most_body_bytes = 48 * 1024 * 1024;
+    std::size_t congested = 256 * 1024;  // bytes on the way to one client, above which its target has to wait
+    Time crowded_absence = 0;            // advised when there is no room for a request
     std::function<bool()> ready;
   };
 
-  Clients(Options options, const fronts::Names& names, core::Exchanges& core);
+  Clients(Options options, const fronts::Names& names, core::Exchanges& core, Commons& commons);
   ~Clients();
 
   // A restart is planned: answers close their connections from now on, and idle ones are closed soon.
@@ -34,22 +46,27 @@
 
  private:
   class Line;
+  using Waiting = std::list<Line*>;  // the one that has waited longest comes first
 
-  bool room();
-  bool crowded() const;
+  bool room() const;
+  void make_room();
+  bool evict(Waiting& from, Time older_than);
   void accepted(Owned<GSocket> socket);
   void gone(Line& line);
-  void close_idle();
+  void tend();
   void sweep();
 
   Options options_;
   const fronts::Names& names_;
   core::Exchanges& core_;
   ClientCounters counters_;
+  Commons& commons_;
   std::map<Line*, std::unique_ptr<Line>> lines_;
-  std::size_t held_bytes_ = 0;  // of request bodies
+  Waiting fresh_;         // connections that have not had a whole request yet
+  Waiting idle_;          // between two requests
+  std::size_t busy_ = 0;  // with a request in work
   bool winding_down_ = false;
-  Timer winding_;
+  Timer winding_, tending_;
   std::unique_ptr<Listener> listener_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -7,6 +7,9 @@
 namespace sprucecourse::net {
 namespace {
 
+constexpr std::size_t kSmallBuffer = 4096;  // what a connection that waits may keep
+constexpr int kMostBlankLines = 4;          // ahead of a message
+
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
 std::string_view trim(std::string_view text) {
@@ -56,6 +59,11 @@
   return at == headers.end() ? nullptr : &at->value;
 }
 
+std::size_t Head::count(std::string_view name) const {
+  return static_cast<std::size_t>(
+      std::count_if(headers.begin(), headers.end(), [&](auto& h) { return same_name(h.name, name); }));
+}
+
 bool Head::keeps_alive() const {
   const auto* connection = find("Connection");
   return http_1_0 ? has_token(connection, "keep-alive") : !has_token(connection, "close");
@@ -63,6 +71,24 @@
 
 // ---------------------------------------------------------------- reading
 
+// Guards against work that grows with the square of what is sent in small pieces: what is consumed is only
+// skipped, and moved out of the way once it is the larger part.
+void MessageReader::feed(std::string_view bytes) {
+  if (at_ > buffer_.size() / 2) buffer_.erase(0, std::exchange(at_, 0));
+  buffer_.append(bytes);
+}
+
+void MessageReader::consume(std::size_t size) {
+  at_ += size;
+  if (at_ < buffer_.size()) return;
+  at_ = 0;
+  if (buffer_.capacity() > kSmallBuffer) {
+    buffer_ = {};
+  } else {
+    buffer_.clear();
+  }
+}
+
 MessageReader::Piece MessageReader::next() {
   std::string line;
   for (;;) {
@@ -74,6 +100,9 @@
       case State::chunk_size:
         if (!take_line(line, 256)) return Piece::none;
         left_ = number(trim(std::string_view(line).substr(0, line.find(';'))), 16, 400, "bad chunk size");
+        // Guards against a size that nothing can fit: its "data" would pass for the rest of the connection.
+        if (kind_ == Kind::request && left_ > kMaxBody) throw BadMessage(413, "body too large");
+        if (kind_ == Kind::answer && left_ > max_chunk_) throw BadMessage(502, "chunk too large");
         state_ = left_ == 0 ? State::trailers : State::chunk_data;
         break;
       case State::chunk_data: {
@@ -88,12 +117,13 @@
         break;
       case State::trailers:
         if (!take_line(line, kMaxHead)) return Piece::none;
-        if ((trailer_bytes_ += line.size()) > kMaxHead) throw BadMessage(431, "trailers too long");
+        if ((trailer_bytes_ += line.size() + 2) > kMaxHead) throw BadMessage(431, "trailers too long");
         if (line.empty()) state_ = State::done;
         break;
       case State::until_end:
-        if (buffer_.empty()) return Piece::none;
-        body_ = std::exchange(buffer_, {});
+        if (held() == 0) return Piece::none;
+        body_ = rest();
+        consume(held());
         return Piece::body;
       case State::done: state_ = State::head; return Piece::end;
     }
@@ -108,37 +138,49 @@
     state_ = State::head;
     return Piece::end;
   }
-  if (buffer_.empty()) return Piece::none;
-  const auto size = static_cast<std::size_t>(std::min<std::uint64_t>(left_, buffer_.size()));
+  if (held() == 0) return Piece::none;
+  const auto size = static_cast<std::size_t>(std::min<std::uint64_t>(left_, held()));
   body_seen_ += size;
   if (kind_ == Kind::request && body_seen_ > kMaxBody) throw BadMessage(413, "body too large");
-  body_ = buffer_.substr(0, size);
-  buffer_.erase(0, size);
+  body_ = rest().substr(0, size);
+  consume(size);
   left_ -= size;
   return Piece::body;
 }
 
 bool MessageReader::take_line(std::string& line, std::size_t limit) {
-  const auto end = buffer_.find('\n');
-  if (end == std::string::npos) {
-    if (buffer_.size() > limit) throw BadMessage(400, "line too long");
-    return false;
-  }
-  line = buffer_.substr(0, end);
-  buffer_.erase(0, end + 1);
-  if (!line.empty() && line.back() == '\r') line.pop_back();
+  const auto end = rest().find('\n');
+  if (std::min(end, held()) > limit + 2) throw BadMessage(400, "line too long");
+  if (end == std::string_view::npos) return false;
+  // Guards against messages that two readers would cut differently: a line ends with both characters.
+  if (end == 0 || rest()[end - 1] != '\r') throw BadMessage(400, "bare line feed");
+  line = rest().substr(0, end - 1);
+  consume(end + 1);
   return true;
 }
 
 bool MessageReader::read_head() {
-  while (buffer_.starts_with("\r\n")) buffer_.erase(0, 2);
-  const auto end = buffer_.find("\r\n\r\n");
-  if (std::min(end, buffer_.size()) > kMaxHead) throw BadMessage(431, "head too long");
-  if (end == std::string::npos) return false;
-  parse_head(std::string_view(buffer_).substr(0, end + 2));
-  buffer_.erase(0, end + 4);
-  // An interim answer tells nothing of the exchange; the real head follows.
-  if (kind_ == Kind::answer && head_.status >= 100 && head_.status < 200) return read_head();
+  for (;;) {
+    while (rest().starts_with("\r\n")) {
+      if (++blank_lines_ > kMostBlankLines) throw BadMessage(400, "nothing but blank lines");
+      consume(2);
+    }
+    const auto end = rest().find("\r\n\r\n", scanned_);
+    if (std::min(end, held()) > kMaxHead) throw BadMessage(431, "head too long");
+    if (end == std::string_view::npos) {
+      scanned_ = held() - std::min<std::size_t>(held(), 3);
+      return false;
+    }
+    scanned_ = 0;
+    blank_lines_ = 0;
+    parse_head(rest().substr(0, end + 2));
+    consume(end + 4);
+    if (kind_ == Kind::request || head_.status >= 200) break;
+    // An interim answer tells nothing of the exchange; the real head follows. Nobody asked for an upgrade.
+    if (head_.status == 101 || head_.status < 100) throw BadMessage(502, "not an answer");
+    if (++interim_ > kMostInterim) throw BadMessage(502, "too many interim answers");
+  }
+  interim_ = 0;
   frame();
   return true;
 }
@@ -168,6 +210,7 @@
   if (version != "HTTP/1.1" && version != "HTTP/1.0") throw BadMessage(400, "unknown HTTP version");
   head_.http_1_0 = version == "HTTP/1.0";
   while (!text.empty()) {
+    if (head_.headers.size() >= kMaxHeaders) throw BadMessage(431, "too many headers");
     const auto line_end = text.find("\r\n");
     const auto line = text.substr(0, line_end);
     text.remove_prefix(line_end + 2);
@@ -186,14 +229,12 @@
 void MessageReader::frame() {
   body_seen_ = left_ = 0;
   trailer_bytes_ = 0;
-  const std::string* length = nullptr;
-  for (const auto& header : head_.headers) {
-    if (!same_name(header.name, "Content-Length")) continue;
-    if (length != nullptr && *length != header.value) throw BadMessage(400, "two lengths");
-    length = &header.value;
-  }
+  if (head_.count("Content-Length") > 1) throw BadMessage(400, "two lengths");
+  if (head_.count("Transfer-Encoding") > 1) throw BadMessage(400, "two transfer codings");
+  const std::string* length = head_.find("Content-Length");
   const std::string* coding = head_.find("Transfer-Encoding");
   if (coding != nullptr && length != nullptr) throw BadMessage(400, "length and transfer coding");
+  if (coding != nullptr && head_.http_1_0) throw BadMessage(400, "transfer coding in HTTP/1.0");
   const bool empty = kind_ == Kind::answer && (head_.status == 204 || head_.status == 304);
   if (coding != nullptr) {
     if (!same_name(*coding, "chunked")) throw BadMessage(400, "unknown transfer coding");
@@ -224,6 +265,7 @@
     case 400: reason = "Bad Request"; break;
     case 404: reason = "Not Found"; break;
     case 405: reason = "Method Not Allowed"; break;
+    case 409: reason = "Conflict"; break;
     case 408: reason = "Request Timeout"; break;
     case 413: reason = "Content Too Large"; break;
     case 429: reason = "Too Many Requests"; break;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -12,6 +12,8 @@
 
 inline constexpr std::size_t kMaxHead = 16 * 1024;
 inline constexpr std::size_t kMaxBody = 256 * 1024;
+inline constexpr std::size_t kMaxHeaders = 100;
+inline constexpr int kMostInterim = 8;  // 1xx answers ahead of the real one
 
 // A message that breaks the rules, with the status that says so to whoever sent it.
 struct BadMessage : std::runtime_error {
@@ -30,6 +32,7 @@
   std::vector<Header> headers;
 
   const std::string* find(std::string_view name) const;
+  std::size_t count(std::string_view name) const;
   bool keeps_alive() const;
 };
 
@@ -43,20 +46,23 @@
   enum class Kind { request, answer };
   enum class Piece { none, head, body, end };
 
-  explicit MessageReader(Kind kind) : kind_(kind) {}
-  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  // Of an answer, no chunk may announce more than `max_chunk`.
+  explicit MessageReader(Kind kind, std::size_t max_chunk = kMaxBody) : kind_(kind), max_chunk_(max_chunk) {}
+  void feed(std::string_view bytes);
   // Throws BadMessage.
   Piece next();
   const Head& head() const { return head_; }
   std::string take_body() { return std::move(body_); }
   // The connection has ended: is the message in work whole by that? (An answer without a length.)
   bool whole_at_end() const { return state_ == State::until_end; }
-  bool between_messages() const { return state_ == State::head && buffer_.empty(); }
-  std::size_t held() const { return buffer_.size(); }
+  bool between_messages() const { return state_ == State::head && at_ == buffer_.size(); }
+  std::size_t held() const { return buffer_.size() - at_; }
 
  private:
   enum class State { head, counted, chunk_size, chunk_data, chunk_end, trailers, until_end, done };
 
+  std::string_view rest() const { return std::string_view(buffer_).substr(at_); }
+  void consume(std::size_t size);
   bool read_head();
   void parse_head(std::string_view text);
   void frame();
@@ -64,8 +70,12 @@
   Piece take_counted(State after);
 
   Kind kind_;
+  std::size_t max_chunk_;
   State state_ = State::head;
   std::string buffer_, body_;
+  std::size_t at_ = 0;       // where what is not consumed yet begins
+  std::size_t scanned_ = 0;  // bytes behind it in which no head ends
+  int blank_lines_ = 0, interim_ = 0;
   Head head_;
   std::uint64_t left_ = 0, body_seen_ = 0;
   std::size_t trailer_bytes_ = 0;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -233,6 +233,10 @@
   ending_.start(0, [this] { callbacks_.ended(); });
 }
 
+void Stream::finish_sending() {
+  if (open()) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+}
+
 void Stream::close() {
   reading_.stop();
   writing_.stop();
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -101,7 +101,8 @@
   void write(std::shared_ptr<const std::string> bytes);
   void write(std::string bytes) { write(std::make_shared<const std::string>(std::move(bytes))); }
   std::size_t unsent() const { return unsent_; }
-  void hold(bool on);  // stop reading for a while
+  void hold(bool on);     // stop reading for a while
+  void finish_sending();  // half-close: the other side reads the end, and may still send
   void close();
   bool open() const { return socket_ != nullptr; }
   bool readable_now() const;
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -76,7 +76,7 @@
   request_ = write_head("GET " + target + " HTTP/1.1", {{"Host", options_.address}});
   // Every call has its limit: a discovery that vanished says nothing and closes nothing.
   limit_.start(wait > 0 ? wait + kGrace : kAnswerLimit, [this] { failed("no answer in time"); });
-  reader_ = std::make_unique<MessageReader>(MessageReader::Kind::answer);
+  reader_ = std::make_unique<MessageReader>(MessageReader::Kind::answer, kMostList);
   body_.clear();
   if (stream_ && stream_->open()) return stream_->write(request_);
   connect();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -11,8 +11,12 @@
 // and refused at once: guards against requests that wait unread in the kernel's queue until they are lost.
 constexpr double kClientPart = 0.5;
 constexpr double kEgressPart = 0.42;
-constexpr Time kReadyAnyway = 5'000'000;  // ready without a list after this, so that clients get answers
-constexpr Time kQuiet = 3'000'000;        // winding down: without clients for this long, the router ends
+// Parts of the memory: one in so many for the bodies of requests, and for what is on the way to clients.
+constexpr std::size_t kBodyPart = 4, kAnswerPart = 8;
+constexpr std::size_t kLeastOnTheWay = 16 * 1024, kMostOnTheWay = 256 * 1024;
+constexpr Time kCrowdedAbsence = 1'000'000;  // advised when there is no room for a request
+constexpr Time kReadyAnyway = 5'000'000;     // ready without a list after this, so that clients get answers
+constexpr Time kQuiet = 3'000'000;           // winding down: without clients for this long, the router ends
 
 }  // namespace
 
@@ -75,18 +79,29 @@
   return options;
 }
 
-std::size_t Node::most_clients() const {
-  if (config_.most_clients > 0) return config_.most_clients;
-  const auto part = kClientPart * static_cast<double>(net::descriptors().limit);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(part));
+net::Clients::Options Node::client_options() const {
+  net::Clients::Options options;
+  const auto limit = static_cast<double>(net::descriptors().limit);
+  const auto part = [&](double share) {
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share * limit));
+  };
+  options.most_connections = config_.most_clients > 0 ? config_.most_clients : part(kClientPart);
+  options.most_lines = std::max(part(1 - kEgressPart), options.most_connections + 1);
+  const std::size_t memory = config_.memory_mb * 1024 * 1024;
+  options.most_body_bytes = memory / kBodyPart;
+  options.congested =
+      std::clamp(memory / kAnswerPart / options.most_connections, kLeastOnTheWay, kMostOnTheWay);
+  options.crowded_absence =
+      config_.settings.retry_after ? std::min(kCrowdedAbsence, config_.settings.max_retry_after) : 0;
+  options.ready = [this] { return ready(); };
+  return options;
 }
 
 void Node::open_front(const std::string& address, const fronts::Dialect& speaks) {
-  fronts_.push_back(std::make_unique<net::Clients>(net::Clients::Options{.address = address,
-                                                                         .dialect = &speaks,
-                                                                         .most_connections = most_clients(),
-                                                                         .ready = [this] { return ready(); }},
-                                                   names_, *core_));
+  auto options = client_options();
+  options.address = address;
+  options.dialect = &speaks;
+  fronts_.push_back(std::make_unique<net::Clients>(std::move(options), names_, *core_, commons_));
 }
 
 void Node::record(const core::Tally& tally) {
@@ -139,7 +154,8 @@
   for (const auto& front : fronts_) {
     const auto& f = front->counters();
     line << " accepted=" << f.accepted << " bad=" << f.bad << " health=" << f.health
-         << " crowded=" << f.crowded << " clients=" << front->connections();
+         << " crowded=" << f.crowded << " mute=" << f.silent << " evicted=" << f.evicted
+         << " clients=" << front->connections();
   }
   const auto& s = servers_.counters();
   line << " opened=" << s.opened << " reused=" << s.reused << " lines=" << servers_.connections()
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -56,7 +56,7 @@
 
  private:
   net::Servers::Options server_options() const;
-  std::size_t most_clients() const;
+  net::Clients::Options client_options() const;
   void open_front(const std::string& address, const fronts::Dialect& speaks);
   void record(const core::Tally& tally);
   bool ready() const;
@@ -70,6 +70,7 @@
   net::Servers servers_;
   std::unique_ptr<net::Flows> flows_;  // none unless the operator asks for it
   std::unique_ptr<core::Exchanges> core_;
+  net::Commons commons_;
   std::vector<std::unique_ptr<net::Clients>> fronts_;
   std::function<void()> done_;
   net::Timer quiet_;
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -42,6 +42,7 @@
     return post("/v1/chat/completions", first, second,
                 R"({"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]})");
   }
+  if (word == "raw") return post("/v1/chat/completions", first, "", second);
   if (word == "say") {
     return post("/v1/messages", first, second,
                 R"({"model":"m","stream":true,"max_tokens":50,"system":"be brief",)"
@@ -148,6 +149,7 @@
   config.report_fields = {"errors_per_s", "backlog"};
   config.keepalive = setup.keepalive;
   config.most_clients = setup.most_clients;
+  config.memory_mb = setup.memory_mb;
   config.silence_limit = setup.silence_limit;
   config.known = "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}";
   node_ = std::make_unique<Node>(config);
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -26,7 +26,7 @@
   Time keepalive = 5'000'000, silence_limit = 3'000'000;
   std::string known_state = "SERVING";
   std::string flow_collector = {};
-  std::size_t most_clients = 0;
+  std::size_t most_clients = 0, memory_mb = 192;
 };
 
 class Play {
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -190,6 +190,24 @@
       {R"(POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r\r\nX-Priority-Class: chat\r\nX-Tenant-Id: who\r\n\r\n)",
        "400"},
       {R"($ask(r1,soon))", "400"},
+      {R"($ask(r1,-1))", "400"},
+      {R"($ask(r1,8000\r\nX-Timeout-Ms: 9000))", "400"},
+      {R"($ask(r1\r\nX-Request-ID: r2))", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: $fill(300)\r\nContent-Length: 0\r\n\r\n)",
+       "400"},
+      {R"($raw(r1,))", "400"},
+      {R"($raw(r1,[1]))", "400"},
+      {R"($raw(r1,noise))", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -4\r\n\r\n)", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n)",
+       "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n)",
+       "400"},
+      {R"(POST /v1/chat/completions HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n)", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\n)", "400"},
+      {R"(POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n)", "413"},
+      {R"(POST /v1/chat/completions HTTP/1.1\nX: y\r\n\r\n)", "400"},
+      {R"(\r\n\r\n\r\n\r\n\r\n\r\n)", "400"},
   }));
   Play play;
   play.run(
@@ -197,6 +215,94 @@
       " \nclient1 expect {\"error\":{\nrouter expect bad=1\nrouter expect hops=0\nrouter expect open=0\n");
 }
 
+// Silent connections once stayed for a minute and took the places of those that had something to ask.
+TEST_CASE("a connection that says nothing, or half a request, or nothing more is ended within seconds") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    client2 expect close
+    client3 send POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r3\r\n
+    client3 expect HTTP/1.1 408 
+    client3 expect {"error":{
+    client1 expect close
+    router expect mute=1
+    router expect clients=0
+  )");
+}
+
+TEST_CASE("an id that has a request in work gets an error and no second run, and is free again after it") {
+  Play play({.boxes = 2});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect X-Request-ID: r1\r\n
+    client2 send $ask(r1)
+    client2 expect HTTP/1.1 409 Conflict\r\n
+    writer1 send $say(r1)
+    writer1 expect HTTP/1.1 409 Conflict\r\n
+    router expect hops=1
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    client3 send $ask(r1)
+    hop2 send $stream$delta(two)$done
+    client3 expect \r\n0\r\n\r\n
+    client4 send $ask(r4)
+    hop3 expect X-Request-ID: r4\r\n
+    client4 close
+    router expect gone=1
+    client5 send $ask(r4)
+    hop4 expect X-Request-ID: r4\r\n
+  )");
+}
+
+TEST_CASE("an error reaches a client that goes on sending, and its connection ends") {
+  Play play;
+  play.run(R"(
+    client1 send POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n$fill(3000000)
+    client1 expect HTTP/1.1 413 
+    client1 expect {"error":{
+    client2 send nonsense\r\n\r\n$ask(r2)$ask(r3)
+    client2 expect HTTP/1.1 400 
+    client2 expect "}}
+    client2 expect close
+    router expect bad=2
+    router expect taken=0
+    router expect clients=0
+  )");
+}
+
+TEST_CASE("a crowd that says nothing gives way to a client with a request") {
+  Play play({.most_clients = 2});
+  play.run(R"(
+    client1 send
+    client2 send
+    wait 700
+    client3 send $ask(r3)
+    hop1 send $stream$delta(one)$done
+    client3 expect \r\n0\r\n\r\n
+    router expect evicted=1
+    router expect crowded=0
+  )");
+}
+
+TEST_CASE("bodies that are still coming count, and beyond their part of the memory requests are refused") {
+  Play play({.memory_mb = 1});
+  play.run(R"(
+    client1 send POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 200000\r\n\r\n$fill(199999)
+    wait 50
+    client2 send POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 200000\r\n\r\n$fill(199999)
+    client2 expect HTTP/1.1 503 
+    client2 expect Retry-After: 1.000\r\n
+    client2 expect "}}
+    client1 close
+    router expect crowded=1
+    router expect clients=0
+    client3 send $ask(r3)
+    hop1 expect X-Request-ID: r3\r\n
+  )");
+}
+
 TEST_CASE("a request in pieces is one request") {
   Play play;
   play.run(R"(
