Read answers strictly, and leave no replica out for one spoilt answer

A second answer behind the first can no longer answer the next hop: an idle connection with unread bytes is closed before reuse. Load reports with nan, inf, repeated or missing fields are no reports.

--- a/src/fronts/frames.cpp
+++ b/src/fronts/frames.cpp
@@ -1,24 +1,52 @@
 #include "fronts/frames.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "net/http.hpp"
+
 namespace sprucecourse::fronts {
 
 std::optional<std::string> FrameSplitter::next() {
   for (;;) {
-    const auto end = buffer_.find('\n', line_);
-    if (end == std::string::npos) return std::nullopt;
-    const std::size_t length = end - line_;
-    const bool blank = length == 0 || (length == 1 && buffer_[line_] == '\r');
+    const auto end = buffer_.find('\n', std::max(line_, scanned_));
+    if (end == std::string::npos) {
+      scanned_ = buffer_.size();
+      return std::nullopt;
+    }
+    auto line = std::string_view(buffer_).substr(line_, end - line_);
+    if (line.ends_with('\r')) line.remove_suffix(1);
     line_ = end + 1;
-    if (!blank) continue;
+    if (!line.empty()) {
+      check(line);
+      begun_ = true;
+    }
+    if (!line.empty() || !begun_) continue;
     std::string frame = buffer_.substr(0, line_);
     buffer_.erase(0, line_);
-    line_ = 0;
+    line_ = scanned_ = 0;
+    begun_ = false;
     return frame;
   }
 }
 
+std::string FrameSplitter::rest() {
+  if (line_ < buffer_.size()) check(std::string_view(buffer_).substr(line_));
+  line_ = scanned_ = 0;
+  if (!std::exchange(begun_, false) && buffer_.find_first_not_of("\r\n") == std::string::npos)
+    buffer_.clear();
+  return std::exchange(buffer_, {});
+}
+
+// Guards against chunks whose sizes do not fit: what frames the next chunk would pass for a part of an event.
+void FrameSplitter::check(std::string_view line) const {
+  const auto field = line.substr(0, line.find(':'));
+  for (const auto* known : {"data", "event", "id", "retry", ""}) {
+    if (field == known) return;
+  }
+  throw net::BadMessage(502, "a line that no event stream holds");
+}
+
 Frame read_frame(std::string_view raw) {
   Frame frame;
   while (!raw.empty()) {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::size_t kSmallBuffer = 4096;  // what a connection that waits may keep
-constexpr int kMostBlankLines = 4;          // ahead of a message
+constexpr std::string_view kProtocol = "HTTP/1.";
+constexpr int kMostBlankLines = 4;  // ahead of a message
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -165,6 +166,9 @@
       if (++blank_lines_ > kMostBlankLines) throw BadMessage(400, "nothing but blank lines");
       consume(2);
     }
+    // Guards against waiting for the end of what is no head at all.
+    const auto start = rest().substr(0, kProtocol.size());
+    if (kind_ == Kind::answer && !kProtocol.starts_with(start)) throw BadMessage(502, "no HTTP");
     const auto end = rest().find("\r\n\r\n", scanned_);
     if (std::min(end, held()) > kMaxHead) throw BadMessage(431, "head too long");
     if (end == std::string_view::npos) {
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "fronts/frames.hpp"
 #include "net/http.hpp"
@@ -13,8 +14,7 @@
 constexpr double kIdlePart = 0.7;  // of the keep-alive time, after which we close an idle connection
 constexpr Time kProbeLimit = 250'000;
 constexpr std::size_t kMostAnswer = 64 * 1024;  // of an answer that is no stream
-constexpr std::size_t kMostFrame = 256 * 1024;
-constexpr std::size_t kMostHeld = 1024 * 1024;  // bytes of one read ahead of their parsing
+constexpr Time kHeadLimit = 250'000;            // for the rest of a head, once its first byte has come
 
 // The names of a load report's fields in the settings, and what targets call them.
 constexpr std::pair<std::string_view, std::string_view> kFieldNames[] = {
@@ -29,6 +29,26 @@
 
 }  // namespace
 
+std::vector<float> read_report(std::string_view text, const std::vector<std::string>& names) {
+  std::vector<float> values(names.size());
+  std::vector<bool> told(values.size());
+  while (!text.empty()) {
+    auto part = text.substr(0, text.find_first_of(", \r\n"));
+    text.remove_prefix(std::min(text.size(), part.size() + 1));
+    const auto equals = part.find('=');
+    if (equals == std::string_view::npos) continue;
+    for (std::size_t i = 0; i < values.size(); ++i) {
+      if (!same_field(names[i], part.substr(0, equals))) continue;
+      const auto [end, error] =
+          std::from_chars(part.data() + equals + 1, part.data() + part.size(), values[i]);
+      const bool whole = error == std::errc{} && end == part.data() + part.size();
+      if (!whole || !std::isfinite(values[i]) || values[i] < 0 || told[i]) return {};
+      told[i] = true;
+    }
+  }
+  return std::find(told.begin(), told.end(), false) == told.end() ? values : std::vector<float>{};
+}
+
 // One connection. It carries one hop (or probe) at a time.
 class Servers::Line : public Mortal {
  public:
@@ -49,6 +69,10 @@
   ReplicaId target() const { return target_; }
   Time idle_since() const { return idle_since_; }
 
+  // Guards the next hop against an answer that is none of its own: what a target sends unasked, behind an
+  // answer or instead of its end, makes a connection useless.
+  bool clean() const { return !stream_.readable_now(); }
+
   void carry(core::HopId hop, std::shared_ptr<const core::Payload> payload, Time until) {
     job_ = Job::hop;
     hop_ = hop;
@@ -88,7 +112,7 @@
     events_ = owner_.core_ == nullptr ? nullptr : dialect_.reader();
     body_.clear();
     report_.clear();
-    written_ = sent_ = streaming_ = held_ = false;
+    written_ = sent_ = headed_ = streaming_ = held_ = false;
     if (!fresh_) return write();
     limit_.start(owner_.options_.dial_limit, [this] { finish(Outcome::connect_failed, false); });
   }
@@ -127,16 +151,29 @@
   void arrived(std::string_view bytes) {
     if (job_ == Job::none) return close();  // nothing was asked
     reader_.feed(bytes);
-    if (reader_.held() > kMostHeld) return finish(Outcome::reset, false);
-    try {
+    reading([this] {
       while (job_ != Job::none && !left_ && step()) {
       }
+    });
+    if (job_ == Job::hop && !headed_) watch_head();
+  }
+
+  void reading(const std::function<void()>& read) {
+    try {
+      read();
     } catch (const BadMessage& bad) {
-      logging::warning("servers") << "a target's answer is broken: " << bad.what();
-      finish(Outcome::reset, false);
+      broken(bad.what());
     }
   }
 
+  // The target has spoilt its answer, but it may well have run the request: a failed attempt like one whose
+  // connection broke. The connection is of no further use.
+  void broken(const char* why) {
+    ++owner_.counters_.spoilt;
+    logging::warning("servers") << "a target's answer is broken: " << why;
+    finish(Outcome::reset, false);
+  }
+
   bool step() {
     switch (reader_.next()) {
       case MessageReader::Piece::none: return false;
@@ -149,9 +186,20 @@
 
   void read_head() {
     const Head& head = reader_.head();
-    if (const auto* load = head.find("X-Server-Load")) report_ = owner_.read_report(*load);
-    streaming_ = job_ == Job::hop && head.status == 200;
-    if (streaming_) watch_silence();
+    if (const auto* load = head.find("X-Server-Load"))
+      report_ = read_report(*load, owner_.options_.report_names);
+    if (job_ != Job::hop) return;
+    headed_ = true;
+    streaming_ = head.status == 200;
+    watch_silence();
+  }
+
+  // Guards against a head that begins and does not end. Between an interim answer and the real one there may
+  // be any time.
+  void watch_head() {
+    if (reader_.between_messages()) return limit_.stop();
+    if (limit_.running()) return;
+    limit_.start(kHeadLimit, [this] { broken("its head does not end"); });
   }
 
   // A target that vanished in mid-stream says nothing: without this the client would wait for ever.
@@ -165,18 +213,20 @@
 
   void read_body(const std::string& bytes) {
     if (!streaming_) {
+      if (job_ == Job::hop) watch_silence();
       body_ += bytes;
       if (body_.size() > kMostAnswer) throw BadMessage(502, "answer too long");
       return;
     }
-    watch_silence();
     frames_.feed(bytes);
-    if (frames_.held() > kMostFrame) throw BadMessage(502, "event too long");
     while (job_ == Job::hop) {
       auto frame = frames_.next();
-      if (!frame) return;
+      if (!frame) break;
+      // Only what says something is a sign of life: blank lines can go on for ever.
+      watch_silence();
       pass(std::move(*frame));
     }
+    if (frames_.held() > owner_.options_.most_frame) throw BadMessage(502, "event too long");
   }
 
   void pass(std::string frame) {
@@ -184,7 +234,8 @@
     event.dialect = dialect_.name();
     constexpr std::string_view kReport = "X-Server-Load:";
     if (event.kind == core::EventKind::comment && event.text.starts_with(kReport)) {
-      report_ = owner_.read_report(std::string_view(event.text).substr(kReport.size()));
+      report_ =
+          read_report(std::string_view(event.text).substr(kReport.size()), owner_.options_.report_names);
     }
     owner_.core_->hop_event(hop_, event);
   }
@@ -196,7 +247,7 @@
       if (std::string rest = frames_.rest(); !rest.empty()) pass(std::move(rest));
       if (job_ == Job::hop) finish(Outcome::served, keep);
     } else if (job_ == Job::probe) {
-      if (head.status == 200 && report_.empty()) report_ = owner_.read_report(body_);
+      if (head.status == 200 && report_.empty()) report_ = read_report(body_, owner_.options_.report_names);
       finish(head.status == 200 ? Outcome::served : Outcome::error, keep);
     } else {
       finish(dialect_.never_begun(head) ? Outcome::full : Outcome::error, keep);
@@ -205,7 +256,7 @@
 
   void ended() {
     if (job_ == Job::none) return close();
-    if (streaming_ && reader_.whole_at_end()) return whole();
+    if (streaming_ && reader_.whole_at_end()) return reading([this] { whole(); });
     finish(sent_ ? Outcome::reset : Outcome::connect_failed, false);
   }
 
@@ -252,7 +303,8 @@
   Time until_ = 0, idle_since_ = 0;
   std::string body_;
   std::vector<float> report_;
-  bool fresh_ = false, written_ = false, sent_ = false, streaming_ = false, held_ = false, left_ = false;
+  bool fresh_ = false, written_ = false, sent_ = false, headed_ = false, streaming_ = false, held_ = false;
+  bool left_ = false;
 };
 
 Servers::Servers(Options options, const RouteTable& routes) : options_(std::move(options)), routes_(routes) {}
@@ -263,25 +315,6 @@
   return found == options_.by_name.end() ? *options_.dialect : *found->second;
 }
 
-// A load report in the module's order; empty where a field is missing.
-std::vector<float> Servers::read_report(std::string_view text) const {
-  std::vector<float> values(options_.report_names.size());
-  std::size_t found = 0;
-  while (!text.empty()) {
-    auto part = text.substr(0, text.find_first_of(", \r\n"));
-    text.remove_prefix(std::min(text.size(), part.size() + 1));
-    const auto equals = part.find('=');
-    if (equals == std::string_view::npos) continue;
-    for (std::size_t i = 0; i < values.size(); ++i) {
-      if (!same_field(options_.report_names[i], part.substr(0, equals))) continue;
-      const auto [end, error] =
-          std::from_chars(part.data() + equals + 1, part.data() + part.size(), values[i]);
-      if (error == std::errc{}) ++found;
-    }
-  }
-  return found == values.size() ? values : std::vector<float>{};
-}
-
 bool Servers::make_room() {
   const auto full = [this] {
     return lines_.size() >= options_.most_connections || descriptors().held + 1 >= descriptors().limit;
@@ -299,8 +332,13 @@
 
 Servers::Line* Servers::line_to(const Route& route) {
   auto& idle = idle_[route.listing.id];
-  if (!idle.empty()) {
+  while (!idle.empty()) {
     Line* line = idle.back();
+    if (!line->clean()) {
+      ++counters_.unclean;
+      line->close();
+      continue;
+    }
     idle.pop_back();
     ++counters_.reused;
     return line;
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -14,8 +14,13 @@
 
 struct ServerCounters {
   std::uint64_t opened = 0, reused = 0, drained_meanwhile = 0, no_descriptor = 0, silent = 0, probes = 0;
+  std::uint64_t spoilt = 0, unclean = 0;
 };
 
+// A load report in the module's order; empty where a field is missing, said twice or no amount: a report that
+// cannot be read must change nothing.
+std::vector<float> read_report(std::string_view text, const std::vector<std::string>& names);
+
 class Servers : public core::Egress {
  public:
   struct Options {
@@ -24,6 +29,7 @@
     Time silence_limit = 3'000'000;         // of a stream that has begun
     std::vector<std::string> report_names;  // the fields of a load report, in the order the module wants
     std::size_t most_connections = 400;
+    std::size_t most_frame = 256 * 1024;
     const fronts::Dialect* dialect = nullptr;               // of targets that are not named below
     std::map<std::string, const fronts::Dialect*> by_name;  // uid -> dialect
   };
@@ -47,7 +53,6 @@
   Line* line_to(const Route& route);
   bool make_room();
   void gone(Line& line);
-  std::vector<float> read_report(std::string_view text) const;
   const fronts::Dialect& dialect_of(const Route& route) const;
 
   Options options_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -74,6 +74,8 @@
   options.report_names = config_.report_fields;
   options.most_connections =
       static_cast<std::size_t>(kEgressPart * static_cast<double>(net::descriptors().limit));
+  options.most_frame = std::clamp(config_.memory_mb * 1024 * 1024 / kAnswerPart / options.most_connections,
+                                  kLeastOnTheWay, kMostOnTheWay);
   options.dialect = &dialect_named(config_.added.target_dialect);
   for (const auto& [uid, name] : config_.added.targets) options.by_name[uid] = &dialect_named(name);
   return options;
@@ -160,7 +162,8 @@
   const auto& s = servers_.counters();
   line << " opened=" << s.opened << " reused=" << s.reused << " lines=" << servers_.connections()
        << " silent=" << s.silent << " no_descriptor=" << s.no_descriptor
-       << " drained_meanwhile=" << s.drained_meanwhile << " probes=" << s.probes;
+       << " drained_meanwhile=" << s.drained_meanwhile << " probes=" << s.probes << " spoilt=" << s.spoilt
+       << " unclean=" << s.unclean;
   const auto& d = routes_.counters();
   line << " list_calls=" << d.calls << " list_failures=" << d.failures << " list_entries=" << d.changes;
   line << " reloads=" << reloads_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -413,7 +413,7 @@
     const auto found = pending_.find(result.id);
     const bool ours = found != pending_.end() && result.attempt < found->second.attempts.size();
     if (is_failure(result.outcome) && !expired(now, result, ours ? &found->second : nullptr)) {
-      failed(now, replica->second, result.outcome != Outcome::timed_out);
+      failed(now, replica->second, result.outcome == Outcome::connect_failed);
     }
     if (!ours) return;
     Pending& p = found->second;
@@ -545,8 +545,9 @@
   }
 
   // Ejects for a time that doubles while failures go on. A first silence is forgiven, for the replica may
-  // only be busy; an error or a missing connection is not: guards against a part of the fleet that errs
-  // fast and so draws requests, and against a lost zone that the list still shows.
+  // only be busy, and so is a first error or broken answer, which any replica sends at times; two in a
+  // row, or a missing connection, are not: guards against a part of the fleet that errs fast and so draws
+  // requests, and against a lost zone that the list still shows.
   void failed(Time now, Replica& r, bool certain) {
     if (now < r.ejected_until) return;
     if (certain) r.failures = std::max(r.failures, 1);
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -215,6 +215,84 @@
       " \nclient1 expect {\"error\":{\nrouter expect bad=1\nrouter expect hops=0\nrouter expect open=0\n");
 }
 
+TEST_CASE(
+    "an answer spoilt before its first event is a failed hop on a closed connection, and another follows") {
+  const std::string spoilt =
+      GENERATE(as<std::string>(), R"(noise\n)", R"(HTTP/1.1 101 Switching Protocols\r\n\r\n)",
+               R"(HTTP/1.1 200 OK\r\nX: y)", R"($stream()zz\r\n)", R"($stream()b2d05e00\r\n\n\n\n)",
+               R"($stream()3\r\ndata: {}\n\n)", R"($stream$chunk(noise\n\n))");
+  Play play({.boxes = 2});
+  play.run("client1 send $ask(r1)\nhop1 expect X-Request-ID: r1\\r\\n\nhop1 send " + spoilt + R"(
+    hop2 expect X-Request-ID: r1\r\n
+    hop1 expect "content":"hi"}]}
+    hop1 expect close
+    hop2 send $stream$delta(one)$done
+    client1 expect $delta(one)
+    client1 expect \r\n0\r\n\r\n
+    router expect spoilt=1
+    router expect hop_reset=1
+    router expect served=1
+  )");
+}
+
+TEST_CASE("an answer spoilt after its first event ends the client's connection without the last chunk") {
+  const std::string spoilt =
+      GENERATE(as<std::string>(), R"(zz\r\n)", R"(b2d05e00\r\n\n\n\n)", R"(3\r\ndata: {}\n\n)",
+               // A size that is too large by one chunk: its "event" would hold what frames the next one.
+               R"(22\r\ndata: {}\n\n\r\n10\r\ndata: {"a":"b"}\n\n\r\n)");
+  Play play({.boxes = 2});
+  play.run("client1 send $ask(r1)\nhop1 send $stream$delta(one)\nclient1 expect $delta(one)\nhop1 send " +
+           spoilt + R"(
+    router expect spoilt=1
+    router expect broken=1
+    router expect hops=1
+  )");
+  CHECK(play.received("client1").find("\r\n0\r\n\r\n") == std::string::npos);
+  CHECK(play.received("client1").find("data: {\"a\"") == std::string::npos);
+  play.run("hop1 expect \"content\":\"hi\"}]}\nhop1 expect close");
+}
+
+TEST_CASE("interim answers ahead of a good one, however early, change nothing") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n
+    wait 400
+    hop1 send $stream$delta(one)$done
+    client1 expect $delta(one)
+    client1 expect \r\n0\r\n\r\n
+    router expect served=1
+    router expect lines=1
+  )");
+}
+
+TEST_CASE("a second answer behind the first never answers the next request") {
+  const std::string later =
+      GENERATE(as<std::string>(), "", "\nclient1 expect \\r\\n0\\r\\n\\r\\n\nhop1 send ");
+  Play play;
+  play.run("client1 send $ask(r1)\nhop1 send $stream$delta(one)$done" + later + R"($stream$delta(other)$done
+    router expect lines=0
+    client2 send $ask(r2)
+    hop2 expect X-Request-ID: r2\r\n
+    hop2 send $stream$delta(two)$done
+    client2 expect $delta(two)
+    client2 expect \r\n0\r\n\r\n
+    router expect opened=2
+  )");
+  CHECK(play.received("client2").find("other") == std::string::npos);
+}
+
+TEST_CASE("a load report that cannot be read tells nothing") {
+  using sprucecourse::net::read_report;
+  const std::vector<std::string> names = {"errors_per_s", "backlog"};
+  CHECK(read_report("queue=3, eps=0.5, other=x", names) == std::vector<float>{0.5f, 3.0f});
+  for (const auto* bad : {"", "eps=1", "eps=nan,queue=1", "eps=inf,queue=1", "eps=-1,queue=1",
+                          "eps=1,queue=2x", "eps=1,queue=1,queue=2", "eps=,queue=1"}) {
+    INFO(bad);
+    CHECK(read_report(bad, names).empty());
+  }
+}
+
 // Silent connections once stayed for a minute and took the places of those that had something to ask.
 TEST_CASE("a connection that says nothing, or half a request, or nothing more is ended within seconds") {
   Play play;
