Forget what is gone, and serve all sockets and timers from one source each

By reading: routes_ and idle_ (route_table.cpp, servers.cpp) only grew; id_of() gave a newcomer with a gone one's number the next number, which routers that never knew the first would not do; rules.cpp kept replicas_ for ever, health included.

Now targets that went are remembered for the flow records of their last exchanges only, 64 of them, and give their numbers up; connections that wait for one that drains, went or moved are closed when the list tells; the module drops a gone replica that no request refers to; an exchange takes its alarms along. Watches stand behind one epoll descriptor and timers in one queue, each one source of GLib's loop, so that its work follows the bytes and not the number of connections.

--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -1,6 +1,7 @@
 #include "core/exchanges.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sprucecourse::core {
 
@@ -25,7 +26,7 @@
   x.tally.request = x.arrival.request;
   ++counters_.taken;
   // Guards rule 1: whatever the module does, the final answer is out within the slack after the deadline.
-  set_alarm(x.arrival.request.due + kBackstop, {.kind = Due::backstop, .hop = {id, 0}});
+  x.backstop = set_alarm(x.arrival.request.due + kBackstop, {.kind = Due::backstop, .hop = {id, 0}});
   router_.on_request(now, x.arrival.request);
   pump();
   return id;
@@ -135,9 +136,15 @@
   pump();
 }
 
-void Exchanges::set_alarm(Time when, Alarm alarm) {
+Exchanges::Alarms::iterator Exchanges::set_alarm(Time when, Alarm alarm) {
   const auto at = alarms_.emplace(when, alarm);
   if (at == alarms_.begin()) around_.clock.wake_at(when);
+  return at;
+}
+
+// Guards the memory against clients that would wait for long and go soon: no alarm outlives its exchange.
+void Exchanges::cancel(Set& alarm) {
+  if (alarm) alarms_.erase(*std::exchange(alarm, std::nullopt));
 }
 
 void Exchanges::wake() {
@@ -151,6 +158,8 @@
 
 void Exchanges::ring(const Alarm& alarm) {
   const auto found = exchanges_.find(alarm.hop.exchange);
+  if (found != exchanges_.end() && alarm.kind == Due::hop) found->second.hop_alarm.reset();
+  if (found != exchanges_.end() && alarm.kind == Due::backstop) found->second.backstop.reset();
   switch (alarm.kind) {
     case Due::module_timer: router_.on_timer(around_.clock.now(), alarm.token); break;
     case Due::hop: {
@@ -213,7 +222,8 @@
       return;
     }
     case ActionKind::set_timer:
-      return set_alarm(std::max(action.time, around_.clock.now()), {.token = action.token, .hop = {}});
+      set_alarm(std::max(action.time, around_.clock.now()), {.token = action.token, .hop = {}});
+      return;
     case ActionKind::watch_directory: return around_.directory.watch();
     case ActionKind::fetch_directory: return around_.directory.fetch();
     case ActionKind::probe: return around_.egress.probe(action.replica);
@@ -243,7 +253,8 @@
   const Time due = x.arrival.request.due;
   x.hop_until = action.time > 0 ? std::min(now + action.time, due) : due;
   ++counters_.hops;
-  set_alarm(x.hop_until, {.kind = Due::hop, .hop = hop});
+  cancel(x.hop_alarm);
+  x.hop_alarm = set_alarm(x.hop_until, {.kind = Due::hop, .hop = hop});
   around_.egress.launch(hop, action.replica, x.arrival.payload, x.hop_until);
 }
 
@@ -251,6 +262,8 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange x = std::move(found->second);
+  cancel(x.backstop);
+  cancel(x.hop_alarm);
   exchanges_.erase(found);  // first: the reply may bring the client's next exchange
   switch (ending) {
     case Ending::served: ++counters_.served; break;
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -92,8 +92,18 @@
 
   const Counters& counters() const { return counters_; }
   std::size_t open() const { return exchanges_.size(); }
+  std::size_t alarms() const { return alarms_.size(); }
 
  private:
+  enum class Due { module_timer, hop, backstop };
+  struct Alarm {
+    Due kind = Due::module_timer;
+    std::uint32_t token = 0;
+    HopId hop;
+  };
+  using Alarms = std::multimap<Time, Alarm>;
+  using Set = std::optional<Alarms::iterator>;  // an alarm that has not rung yet
+
   struct Exchange {
     Reply* reply = nullptr;
     Arrival arrival;
@@ -103,12 +113,7 @@
     bool hop_out = false, started = false, whole = false, failed = false;
     ReplicaId target = 0;
     Time hop_sent = 0, hop_until = 0;
-  };
-  enum class Due { module_timer, hop, backstop };
-  struct Alarm {
-    Due kind = Due::module_timer;
-    std::uint32_t token = 0;
-    HopId hop;
+    Set backstop, hop_alarm;
   };
 
   Exchange* current(HopId hop);
@@ -119,7 +124,8 @@
   void report(HopId hop, const Exchange& exchange, Outcome outcome, bool concluded,
               std::span<const float> load);
   void drop_hop(Exchange& exchange, Outcome outcome, bool concluded);
-  void set_alarm(Time when, Alarm alarm);
+  Alarms::iterator set_alarm(Time when, Alarm alarm);
+  void cancel(Set& alarm);
   void ring(const Alarm& alarm);
 
   Surroundings around_;
@@ -127,7 +133,7 @@
   std::uint32_t most_hops_;
   Time come_back_;  // advised by the core's own answers
   std::unordered_map<RequestId, Exchange> exchanges_;
-  std::multimap<Time, Alarm> alarms_;
+  Alarms alarms_;
   Counters counters_;
   RequestId last_id_ = 0;
   bool pumping_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,12 +1,17 @@
 #include "net/loop.hpp"
 
+#include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <chrono>
+#include <utility>
 
 #include "net/log.hpp"
 
@@ -17,17 +22,13 @@
 constexpr int kBacklog = 512;
 constexpr int kAcceptsAtOnce = 64;
 constexpr int kReadsAtOnce = 4;
+constexpr std::size_t kEventsAtOnce = 64;
 
 gboolean run_once(gpointer data) {
   (*static_cast<std::function<void()>*>(data))();
   return G_SOURCE_REMOVE;
 }
 
-gboolean on_condition(GSocket*, GIOCondition, gpointer data) {
-  (*static_cast<std::function<void()>*>(data))();
-  return G_SOURCE_CONTINUE;
-}
-
 bool would_block(GError* error) {
   const bool later = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ||
                      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
@@ -35,13 +36,6 @@
   return later;
 }
 
-void end_source(GSource*& source) {
-  if (source == nullptr) return;
-  g_source_destroy(source);
-  g_source_unref(source);
-  source = nullptr;
-}
-
 void without_delay(GSocket* socket) {
   g_socket_set_blocking(socket, FALSE);
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
@@ -63,25 +57,73 @@
 
 // ---------------------------------------------------------------- timers and burials
 
+// One source for all timers. Guards against a loop that looks at each of some hundred sources, one for each
+// connection, whenever a byte comes.
+class Timers {
+ public:
+  static Timers& all() {
+    static Timers timers;
+    return timers;
+  }
+
+  Timer::Queue::iterator add(gint64 when, Timer* timer) {
+    const auto at = queue_.emplace(when, timer);
+    if (armed_ < 0 || when < armed_) arm(when);
+    return at;
+  }
+  // The source is not set anew: at worst it wakes once for nothing.
+  void remove(Timer::Queue::iterator at) { queue_.erase(at); }
+
+ private:
+  Timers() {
+    static GSourceFuncs functions = {nullptr,
+                                     nullptr,
+                                     [](GSource*, GSourceFunc, gpointer) -> gboolean {
+                                       all().ring();
+                                       return G_SOURCE_CONTINUE;
+                                     },
+                                     nullptr,
+                                     nullptr,
+                                     nullptr};
+    source_ = g_source_new(&functions, sizeof(GSource));
+    g_source_attach(source_, nullptr);
+  }
+  ~Timers() {
+    g_source_destroy(source_);
+    g_source_unref(source_);
+  }
+
+  void ring() {
+    const gint64 now = g_get_monotonic_time();
+    armed_ = -1;
+    while (!queue_.empty() && queue_.begin()->first <= now) {
+      Timer* timer = queue_.begin()->second;
+      const auto act = std::move(timer->then_);  // it may start or destroy this timer
+      timer->stop();
+      act();
+    }
+    arm(queue_.empty() ? -1 : queue_.begin()->first);
+  }
+
+  void arm(gint64 when) {
+    armed_ = when;
+    g_source_set_ready_time(source_, when);
+  }
+
+  GSource* source_ = nullptr;
+  Timer::Queue queue_;
+  gint64 armed_ = -1;
+};
+
 void Timer::start(Time delay, std::function<void()> then) {
   stop();
   then_ = std::move(then);
-  source_ = g_timeout_source_new(0);
-  g_source_set_ready_time(source_, g_get_monotonic_time() + std::max<Time>(0, delay));
-  g_source_set_callback(
-      source_,
-      [](gpointer data) -> gboolean {
-        auto* self = static_cast<Timer*>(data);
-        const auto act = std::move(self->then_);  // it may start or destroy this timer
-        self->stop();
-        act();
-        return G_SOURCE_REMOVE;
-      },
-      this, nullptr);
-  g_source_attach(source_, nullptr);
+  at_ = Timers::all().add(g_get_monotonic_time() + std::max<Time>(0, delay), this);
 }
 
-void Timer::stop() { end_source(source_); }
+void Timer::stop() {
+  if (at_) Timers::all().remove(*std::exchange(at_, std::nullopt));
+}
 
 void bury(std::unique_ptr<Mortal> gone) {
   auto* shared = new std::shared_ptr<Mortal>(std::move(gone));
@@ -113,16 +155,95 @@
 
 // ---------------------------------------------------------------- watches
 
+// One source for all watches, for the same reason as with timers: the kernel keeps the set of sockets, and
+// the main loop polls one descriptor.
+class Poller {
+ public:
+  static Poller& all() {
+    static Poller poller;
+    return poller;
+  }
+
+  void set(int fd, Watch* watch, bool writing) {
+    const auto at = static_cast<std::size_t>(fd);
+    if (at >= slots_.size()) slots_.resize(at + 1);
+    Slot& slot = slots_[at];
+    const bool known = slot.reading != nullptr || slot.writing != nullptr;
+    (writing ? slot.writing : slot.reading) = watch;
+    const bool wanted = slot.reading != nullptr || slot.writing != nullptr;
+    if (!known && !wanted) return;
+    epoll_event event{};
+    event.events = (slot.reading != nullptr ? EPOLLIN : 0u) | (slot.writing != nullptr ? EPOLLOUT : 0u);
+    if (!known || !wanted) ++slot.turn;
+    event.data.u64 = at | (static_cast<std::uint64_t>(slot.turn) << 32);
+    const int change = !known ? EPOLL_CTL_ADD : wanted ? EPOLL_CTL_MOD : EPOLL_CTL_DEL;
+    if (epoll_ctl(epoll_, change, fd, &event) != 0) {
+      logging::warning("net") << "a socket cannot be watched: " << g_strerror(errno);
+    }
+  }
+
+ private:
+  // `turn` tells the socket that is watched from an earlier one with the same number, whose event may still
+  // stand in the batch at hand.
+  struct Slot {
+    Watch *reading = nullptr, *writing = nullptr;
+    std::uint32_t turn = 0;
+  };
+
+  Poller() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+    if (epoll_ < 0) throw NetError(std::string("cannot watch sockets: ") + g_strerror(errno));
+    source_ = g_unix_fd_source_new(epoll_, G_IO_IN);
+    const GUnixFDSourceFunc called = [](gint, GIOCondition, gpointer) -> gboolean {
+      all().ready();
+      return G_SOURCE_CONTINUE;
+    };
+    g_source_set_callback(source_, reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(called)),
+                          nullptr, nullptr);
+    g_source_attach(source_, nullptr);
+  }
+  ~Poller() {
+    g_source_destroy(source_);
+    g_source_unref(source_);
+    ::close(epoll_);
+  }
+
+  void ready() {
+    std::array<epoll_event, kEventsAtOnce> events;
+    const int count = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), 0);
+    for (int i = 0; i < count; ++i) {
+      const auto& event = events[static_cast<std::size_t>(i)];
+      const auto at = static_cast<std::size_t>(event.data.u64 & 0xffffffffu);
+      const auto turn = static_cast<std::uint32_t>(event.data.u64 >> 32);
+      const bool over = (event.events & (EPOLLHUP | EPOLLERR)) != 0;
+      if (over || (event.events & EPOLLIN) != 0) run(at, turn, &Slot::reading);
+      if (over || (event.events & EPOLLOUT) != 0) run(at, turn, &Slot::writing);
+    }
+  }
+
+  // The callbacks before this one may have stopped the watch, or closed its socket.
+  void run(std::size_t at, std::uint32_t turn, Watch* Slot::*which) {
+    Watch* watch = slots_[at].*which;
+    if (watch == nullptr || slots_[at].turn != turn) return;
+    const auto act = watch->then_;
+    (*act)();
+  }
+
+  int epoll_ = -1;
+  GSource* source_ = nullptr;
+  std::vector<Slot> slots_;  // by descriptor
+};
+
 void Watch::start(GSocket* socket, GIOCondition condition, std::function<void()> then) {
   stop();
-  then_ = std::move(then);
-  source_ = g_socket_create_source(socket, condition, nullptr);
-  g_source_set_callback(source_, reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(on_condition)),
-                        &then_, nullptr);
-  g_source_attach(source_, nullptr);
+  then_ = std::make_shared<const std::function<void()>>(std::move(then));
+  fd_ = g_socket_get_fd(socket);
+  writing_ = condition == G_IO_OUT;
+  Poller::all().set(fd_, this, writing_);
 }
 
-void Watch::stop() { end_source(source_); }
+void Watch::stop() {
+  if (running()) Poller::all().set(std::exchange(fd_, -1), nullptr, writing_);
+}
 
 // ---------------------------------------------------------------- streams
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -35,7 +36,7 @@
 // `boot_ms` compares and steps of the system's clock change nothing.
 Time now_us();
 
-// A one-shot timer; stops when destroyed.
+// A one-shot timer; stops when destroyed. All timers share one source of the main loop.
 class Timer {
  public:
   Timer() = default;
@@ -44,10 +45,13 @@
   ~Timer() { stop(); }
   void start(Time delay, std::function<void()> then);
   void stop();
-  bool running() const { return source_ != nullptr; }
+  bool running() const { return at_.has_value(); }
 
  private:
-  GSource* source_ = nullptr;
+  friend class Timers;
+  using Queue = std::multimap<gint64, Timer*>;
+
+  std::optional<Queue::iterator> at_;
   std::function<void()> then_;
 };
 
@@ -65,7 +69,8 @@
 };
 Descriptors& descriptors();
 
-// Watches a socket for a condition; stops when destroyed.
+// Watches a socket for one condition, G_IO_IN or G_IO_OUT; the end of a connection counts as either. Stops
+// when destroyed, and has to stop before its socket closes. All watches share one source of the main loop.
 class Watch {
  public:
   Watch() = default;
@@ -74,11 +79,14 @@
   ~Watch() { stop(); }
   void start(GSocket* socket, GIOCondition condition, std::function<void()> then);
   void stop();
-  bool running() const { return source_ != nullptr; }
+  bool running() const { return fd_ >= 0; }
 
  private:
-  GSource* source_ = nullptr;
-  std::function<void()> then_;
+  friend class Poller;
+
+  int fd_ = -1;
+  bool writing_ = false;
+  std::shared_ptr<const std::function<void()>> then_;  // it may start or destroy this watch
 };
 
 // A TCP connection without blocking. Its owner may bury it in any callback.
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -14,6 +14,7 @@
 constexpr Time kWait = 5'000'000;         // a watch without news ends then
 constexpr Time kGrace = 1'500'000;        // beyond the wait; what was not told counts as told after 2 s
 constexpr Time kAnswerLimit = 5'000'000;  // for a call that waits for nothing; it counts as told after 6 s
+constexpr std::size_t kRemembered = 64;   // targets that are gone, for the records of their last exchanges
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 std::uint16_t index_of(const std::vector<std::string>& names, const std::string& name) {
@@ -181,9 +182,23 @@
       entries.push_back(listing);
     }
   }
+  forget_gone();
   heard_(cached ? DirectoryScope::cached : all ? DirectoryScope::full : DirectoryScope::delta, entries);
 }
 
+// Guards the memory where targets are replaced all day.
+void RouteTable::forget_gone() {
+  for (auto& [id, route] : routes_) {
+    const bool gone = route.listing.state == Listed::gone;
+    if (gone && !route.remembered) gone_.push_back(id);
+    route.remembered = gone;
+  }
+  for (; gone_.size() > kRemembered; gone_.pop_front()) {
+    const auto found = routes_.find(gone_.front());
+    if (found != routes_.end() && found->second.remembered) routes_.erase(found);
+  }
+}
+
 ReplicaListing RouteTable::entry(simdjson::dom::element target, std::string& uid, std::string& endpoint) {
   uid = text_at(target, "/uid");
   endpoint = text_at(target, "/endpoint");
@@ -217,7 +232,10 @@
     id = 0x811c9dc5u;
     for (const char c : uid) id = (id ^ static_cast<unsigned char>(c)) * 0x01000193u;
   }
-  for (auto at = routes_.find(id); at != routes_.end() && at->second.uid != uid; at = routes_.find(id)) {
+  // One that is gone gives its number up, or routers that never knew it would sort differently.
+  for (auto at = routes_.find(id);
+       at != routes_.end() && at->second.uid != uid && at->second.listing.state != Listed::gone;
+       at = routes_.find(id)) {
     logging::warning("route_table") << uid << " shares its number with " << at->second.uid;
     ++id;
   }
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -3,6 +3,7 @@
 
 #include <simdjson.h>
 
+#include <deque>
 #include <map>
 #include <span>
 
@@ -17,6 +18,7 @@
   ReplicaListing listing;
   std::string uid, endpoint;
   Owned<GSocketAddress> address;
+  bool remembered = false;  // gone, and waiting to be forgotten
 };
 
 struct DirectoryCounters {
@@ -60,11 +62,13 @@
   void take_list(simdjson::dom::element list, bool cached);
   ReplicaListing entry(simdjson::dom::element target, std::string& uid, std::string& endpoint);
   ReplicaId id_of(const std::string& uid);
+  void forget_gone();
 
   Options options_;
   Heard heard_;
   Owned<GSocketAddress> address_;
   std::map<ReplicaId, Route> routes_;
+  std::deque<ReplicaId> gone_;  // the one that went first comes first
   DirectoryCounters counters_;
   std::unique_ptr<Stream> stream_;
   std::unique_ptr<MessageReader> reader_;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -55,6 +55,7 @@
   Line(Servers& owner, const Route& route)
       : owner_(owner),
         target_(route.listing.id),
+        endpoint_(route.endpoint),
         dialect_(owner.dialect_of(route)),
         stream_({.connected = [this] { connected(); },
                  .arrived = [this](std::string_view bytes) { arrived(bytes); },
@@ -67,6 +68,7 @@
   }
 
   ReplicaId target() const { return target_; }
+  const std::string& endpoint() const { return endpoint_; }
   Time idle_since() const { return idle_since_; }
 
   // Guards the next hop against an answer that is none of its own: what a target sends unasked, behind an
@@ -268,7 +270,7 @@
     payload_.reset();
     owner_.hops_.erase(hop_);
     const std::vector<float> report = std::exchange(report_, {});
-    if (keep && stream_.open()) {
+    if (keep && stream_.open() && owner_.leads_there(*this)) {
       rest();
     } else {
       close();
@@ -291,6 +293,7 @@
 
   Servers& owner_;
   ReplicaId target_;
+  std::string endpoint_;
   const fronts::Dialect& dialect_;
   Stream stream_;
   MessageReader reader_{MessageReader::Kind::answer};
@@ -331,17 +334,15 @@
 }
 
 Servers::Line* Servers::line_to(const Route& route) {
-  auto& idle = idle_[route.listing.id];
-  while (!idle.empty()) {
-    Line* line = idle.back();
-    if (!line->clean()) {
-      ++counters_.unclean;
-      line->close();
-      continue;
+  for (auto idle = idle_.find(route.listing.id); idle != idle_.end(); idle = idle_.find(route.listing.id)) {
+    Line* line = idle->second.back();
+    if (line->clean()) {
+      take_from_idle(*line);
+      ++counters_.reused;
+      return line;
     }
-    idle.pop_back();
-    ++counters_.reused;
-    return line;
+    ++counters_.unclean;
+    line->close();
   }
   if (!make_room()) {
     ++counters_.no_descriptor;
@@ -390,8 +391,33 @@
   line->carry_probe();
 }
 
+// Nothing is kept for targets without an idle connection: they come and go all day.
+void Servers::take_from_idle(Line& line) {
+  const auto idle = idle_.find(line.target());
+  if (idle == idle_.end()) return;
+  std::erase(idle->second, &line);
+  if (idle->second.empty()) idle_.erase(idle);
+}
+
+// Guards against a connection that waits for a target which has gone, or led to where it was before: another
+// one may answer at that address by now.
+bool Servers::leads_there(const Line& line) const {
+  const Route* route = routes_.find(line.target());
+  return route != nullptr && routes_.may_send(line.target()) && route->endpoint == line.endpoint();
+}
+
+void Servers::routes_changed() {
+  std::vector<Line*> useless;
+  for (auto& [target, lines] : idle_) {
+    for (Line* line : lines) {
+      if (!leads_there(*line)) useless.push_back(line);
+    }
+  }
+  for (Line* line : useless) line->close();
+}
+
 void Servers::gone(Line& line) {
-  std::erase(idle_[line.target()], &line);
+  take_from_idle(line);
   const auto found = lines_.find(&line);
   if (found == lines_.end()) return;
   bury(std::move(found->second));
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -38,6 +38,9 @@
   ~Servers() override;
   void serve(core::Exchanges& core) { core_ = &core; }
 
+  // The list has changed: connections that wait for targets which are no longer ready are closed.
+  void routes_changed();
+
   void launch(core::HopId hop, ReplicaId target, std::shared_ptr<const core::Payload> payload,
               Time until) override;
   void abandon(core::HopId hop) override;
@@ -52,7 +55,9 @@
 
   Line* line_to(const Route& route);
   bool make_room();
+  bool leads_there(const Line& line) const;
   void gone(Line& line);
+  void take_from_idle(Line& line);
   const fronts::Dialect& dialect_of(const Route& route) const;
 
   Options options_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -42,6 +42,7 @@
       names_{config.classes, config.tenants},
       routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds},
               [this](DirectoryScope scope, std::span<const ReplicaListing> entries) {
+                servers_.routes_changed();
                 core_->listed(scope, entries);
               }),
       peers_({.listen = config.peer_listen, .all = config.peers_all, .peers = config.peers},
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "records.hpp"
@@ -570,6 +571,21 @@
       r.listing = entry;
       if (restarted) r.failures = 0, r.ejected_until = 0;
     }
+    forget_gone();
+  }
+
+  // Bounds the memory where replicas are replaced all day, and guards a newcomer against the record of one
+  // that is gone: what no request refers to any more is dropped.
+  void forget_gone() {
+    std::set<ReplicaId> met;
+    for (const auto& [id, p] : pending_) {
+      for (const auto& a : p.attempts) met.insert(a.replica);
+    }
+    std::erase_if(replicas_, [&](const auto& entry) {
+      const Replica& r = entry.second;
+      return r.listing.state == Listed::gone && r.in_flight == 0 && !met.contains(entry.first);
+    });
+    own_ = away_ = {};  // they point to replicas, and are cut anew before they are used
   }
 
   void ask_again(Time now) {
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -124,6 +124,26 @@
   EXPECT_EQ(sent_to(f.arrive_sized(100)), 10u);
 }
 
+TEST(Health, OneThatHasGoneLeavesNoRecordToWhoeverGetsItsId) {
+  Fixture f;
+  f.list_plain(2);
+  fail_until_quiet(f, 10, Outcome::connect_failed);
+  f.list({{.id = 20}});
+  f.list_plain(2);
+  int met = 0;
+  for (int i = 0; i < 30; ++i) met += sent_to(f.arrive_sized(100 + 50 * i)) == 10;
+  EXPECT_GT(met, 0);
+}
+
+TEST(Health, OneThatGoesWithARequestInWorkIsRememberedForIt) {
+  Fixture f;
+  f.list_plain(1);
+  const auto to = sent_to(f.arrive_sized(100));
+  f.list({});
+  EXPECT_FALSE(f.result(f.last.id, 0, to, Outcome::reset).empty());  // its one final answer
+  f.list({});
+}
+
 TEST(Health, ARestartUnderTheSameIdClearsTheRecord) {
   Fixture f;
   f.list_plain(2);
--- a/tests/net/core.cpp
+++ b/tests/net/core.cpp
@@ -135,3 +135,22 @@
   CHECK(world.answers() == 0);
   CHECK(core.counters().gone == 1);
 }
+
+// A client that would wait for an hour once left its alarms behind for as long.
+TEST_CASE("no alarm outlives its exchange") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  world.list(core, 3);
+  for (int i = 0; i < 50; ++i) {
+    const auto id = core.take(
+        {{.due = world.time + 3'600'000'000, .prompt_tokens = 50, .max_tokens = 50}, nullptr}, world);
+    if (i % 2 == 0) {
+      core.client_gone(id);
+    } else {
+      core.hop_event(world.out.back(), delta("one"));
+      core.hop_ended(world.out.back(), Outcome::reset);
+    }
+  }
+  world.advance_to(core, world.time + 10'000'000);  // past the module's own timers
+  CHECK(core.alarms() == 0);
+}
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -40,6 +40,8 @@
   std::string received(const std::string& actor);
   void send(const std::string& actor, const std::string& bytes);
   void expect(const std::string& actor, const std::string& text);
+  std::string box(int index) const { return boxes_.at(static_cast<std::size_t>(index))->address(); }
+  std::size_t targets() const { return node_->targets(); }
 
  private:
   struct Line;
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -431,6 +431,71 @@
   )");
 }
 
+namespace {
+
+std::string entry(const std::string& uid, const std::string& endpoint, const std::string& state) {
+  return R"({"uid":")" + uid + R"(","endpoint":")" + endpoint +
+         R"(","az":"a","model":"m","pod_group":1,"state":")" + state +
+         R"(","capacity_hint":1.0,"boot_ms":0})";
+}
+
+void answer_list(Play& play, const std::string& rev, const std::string& entries) {
+  const std::string body = R"({"rev":)" + rev + R"(,"all":false,"targets":[)" + entries + "]}";
+  play.send("list", "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  play.expect("list", "GET /registry/instances?after=" + rev + "&");
+}
+
+}  // namespace
+
+// Two targets at one address, one after the other: the second once would have got the first one's
+// connections.
+TEST_CASE("a worker at a reused address gets connections of its own, and those of the gone are closed") {
+  Play play;
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect "content":"hi"}]}
+    hop1 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    router expect lines=1
+    list expect GET /registry/instances
+  )");
+  answer_list(play, "2", entry("s-01", play.box(0), "DELETED") + "," + entry("s-02", play.box(0), "SERVING"));
+  play.run(R"(
+    hop1 expect close
+    router expect lines=0
+    client1 send $ask(r2)
+    hop2 expect X-Request-ID: r2\r\n
+    hop2 send $stream$delta(two)
+    client1 expect $delta(two)
+  )");
+  // One that goes with a request in work may finish it, and then its connection is closed too.
+  answer_list(play, "3", entry("s-02", play.box(0), "DRAINING"));
+  play.run(R"(
+    hop2 send $done
+    client1 expect \r\n0\r\n\r\n
+    router expect served=2
+    router expect lines=0
+  )");
+}
+
+TEST_CASE("targets that have gone are forgotten, and their numbers with them") {
+  Play play;
+  play.run("list expect GET /registry/instances");
+  for (int i = 2; i < 300; ++i) {
+    const std::string uid = "s-" + std::to_string(1000 + i);
+    const std::string last = i == 2 ? "s-01" : "s-" + std::to_string(999 + i);
+    answer_list(play, std::to_string(i),
+                entry(last, play.box(0), "DELETED") + "," + entry(uid, play.box(0), "SERVING"));
+  }
+  CHECK(play.targets() <= 80);
+  // Another uid with the number of one that has gone just now: it gets that number, as at a router that never
+  // knew the first.
+  answer_list(play, "300",
+              entry("s-1299", play.box(0), "DELETED") + "," + entry("t-1299", play.box(0), "SERVING"));
+  CHECK(play.targets() <= 80);
+  play.run("client1 send $ask(r1)\nhop1 expect X-Request-ID: r1\\r\\n");
+}
+
 TEST_CASE("a new address of discovery is asked for its whole list at once, and the old one is not heard") {
   Play play;
   play.run(R"(
