Eject replicas for failures in a row only, weighed by what they cost

The outcomes beside it: 150 resets after 0 to 1 ms on pooled connections and 42 connections that were not made, of 710 hops at one router. rules.cpp:552 (failed) held every missing connection certain and ejected for two longest aims; beyond half of the capacity nobody counts as ejected but neighbour() still finds nobody, so sessions moved and shedding rose.

Now failures count in points, in a row: one for a quick reset or error, two for a silence or a connection not made; three eject, for one longest aim, doubling while it goes on. A good answer in between clears them.

--- a/src/records.hpp
+++ b/src/records.hpp
@@ -13,7 +13,7 @@
 struct Replica {
   ReplicaListing listing;
   int in_flight = 0;  // attempts of this router that are still out
-  int failures = 0;   // in a row
+  int failures = 0;   // points of those in a row
   Time ejected_until = 0;
   Time last_alive = 0;  // when it last answered anything
 };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,7 +31,10 @@
 constexpr double kColdHeadroom = 1.0;      // load that cold replicas get for their warmth, of the usual
 constexpr double kHeadroom = 1.5;          // load a replica set can take over its usual, at the most
 constexpr double kMaxEjectedPart = 0.5;    // of a set's capacity; beyond it nobody counts as ejected
-constexpr Time kEjectAims = 2;             // longest aims that a first ejection lasts
+constexpr int kEjectAt = 3;                // points of failures in a row that eject a replica
+constexpr int kQuickPoints = 1;            // for a failure that cost next to no time ...
+constexpr int kSlowPoints = 2;             // ... for a silence, or a connection that was not made
+constexpr Time kEjectAims = 1;             // longest aims that a first ejection lasts
 constexpr double kQuickPart = 0.1;         // of the aim; a failure sooner than this was no work
 constexpr int kMaxDoublings = 3;           // of the ejection time, for repeated failures
 constexpr double kRetryRate = 0.1;         // second attempts earned by each request
@@ -414,7 +417,9 @@
     const auto found = pending_.find(result.id);
     const bool ours = found != pending_.end() && result.attempt < found->second.attempts.size();
     if (is_failure(result.outcome) && !expired(now, result, ours ? &found->second : nullptr)) {
-      failed(now, replica->second, result.outcome == Outcome::connect_failed);
+      const Time aim = ours ? aim_of(found->second.request) : longest_aim_;
+      const bool cheap = result.outcome != Outcome::connect_failed && quick(result, aim);
+      failed(now, replica->second, cheap ? kQuickPoints : kSlowPoints);
     }
     if (!ours) return;
     Pending& p = found->second;
@@ -444,12 +449,14 @@
       return end(p);
     }
     // What failed quickly cost no replica much: trying elsewhere is not a retry storm.
-    const double aim = static_cast<double>(aim_of(p.request));
-    const bool quick = static_cast<double>(result.elapsed) < kQuickPart * aim;
-    if (quick || result.outcome == Outcome::connect_failed) retry_budget_ += 1;
+    if (quick(result, aim_of(p.request)) || result.outcome == Outcome::connect_failed) retry_budget_ += 1;
     if (!second_attempt(now, p, last)) end(p);
   }
 
+  static bool quick(const AttemptResult& result, Time aim) {
+    return static_cast<double>(result.elapsed) < kQuickPart * static_cast<double>(aim);
+  }
+
   // Guards against retry storms: second attempts are a fixed part of the requests.
   bool second_attempt(Time now, Pending& p, const Replica& last) {
     Replica* next = retry_budget_ < 1 ? nullptr : neighbour(now, p, last);
@@ -497,7 +504,7 @@
     const Attempt& a = p.attempts.back();
     Replica& r = replicas_.at(a.replica);
     if (!a.outstanding || r.last_alive >= a.sent || shed_ > kJammed) return;
-    failed(now, r, false);
+    failed(now, r, kSlowPoints);
     if (settings_.second_copies && now < r.ejected_until) second_attempt(now, p, r);
   }
 
@@ -545,15 +552,16 @@
     if (now >= found->second.ejected_until) found->second.failures = 0;
   }
 
-  // Ejects for a time that doubles while failures go on. A first silence is forgiven, for the replica may
-  // only be busy, and so is a first error or broken answer, which any replica sends at times; two in a
-  // row, or a missing connection, are not: guards against a part of the fleet that errs fast and so draws
-  // requests, and against a lost zone that the list still shows.
-  void failed(Time now, Replica& r, bool certain) {
+  // Ejects for a time that doubles while failures go on: guards against a part of the fleet that errs fast
+  // and so draws requests, and against a lost zone that the list still shows. Single failures are forgiven,
+  // quick ones twice: a busy replica is silent at times, any one may spoil an answer or drop a connection,
+  // and leaving out those that answer all else jams the rest.
+  void failed(Time now, Replica& r, int points) {
     if (now < r.ejected_until) return;
-    if (certain) r.failures = std::max(r.failures, 1);
-    if (++r.failures < 2) return;
-    r.ejected_until = now + ((kEjectAims * longest_aim_) << std::min(r.failures - 2, kMaxDoublings));
+    r.failures += points;
+    if (r.failures < kEjectAt) return;
+    const int doublings = std::min((r.failures - kEjectAt) / kSlowPoints, kMaxDoublings);
+    r.ejected_until = now + ((kEjectAims * longest_aim_) << doublings);
     dirty_ = true;
   }
 
