Let shedding fall by arrivals, and learn a pace for each single replica

Lines at fault: feel() in rules.cpp took 0.01 off with each answer in time, but what is shed gives no answers: at 0.9 one answer stands for ten arrivals; and it learned a pace for a kind only, so one slow box was not told from eleven quick ones.

Now the fall is divided by the part let through, and each replica has a pace of its own that narrows its interval (0.08 down with a slow answer, 0.012 up with a good one); a restart clears it.

--- a/src/records.hpp
+++ b/src/records.hpp
@@ -15,6 +15,7 @@
   int in_flight = 0;  // attempts of this router that are still out
   int failures = 0;   // points of those in a row
   Time ejected_until = 0;
+  double pace = 1;      // learned; falls while its answers are slow
   Time last_alive = 0;  // when it last answered anything
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,10 +43,12 @@
 constexpr double kJammed = 0.5;            // part shed above which silence proves nothing of a replica
 constexpr double kSlowPart = 0.6;          // of the aim; a first token later than this is slow
 constexpr double kSpillUp = 0.04;          // more of the sessions leave the zone with each slow answer ...
-constexpr double kSpillDown = 0.006;   // ... fewer with each other one: settles at about one slow in eight
-constexpr double kMaxSpill = 0.7;      // of the sessions leave the zone at the most
-constexpr double kPaceUp = 0.006;      // a kind's learned pace recovers by this with each good answer ...
-constexpr double kPaceDown = 0.04;     // ... and falls by this with each slow one
+constexpr double kSpillDown = 0.006;     // ... fewer with each other one: settles at about one slow in eight
+constexpr double kMaxSpill = 0.7;        // of the sessions leave the zone at the most
+constexpr double kPaceUp = 0.006;        // a kind's learned pace recovers by this with each good answer ...
+constexpr double kPaceDown = 0.04;       // ... and falls by this with each slow one
+constexpr double kSinglePaceUp = 0.012;  // the same for each single replica
+constexpr double kSinglePaceDown = 0.08;
 constexpr double kMinPace = 0.2;       // no kind is trusted with less than this of its listed weight
 constexpr double kShedUp = 0.08;       // more is shed with each late answer ...
 constexpr double kShedDown = 0.01;     // ... less with each other one: settles at about one late in nine
@@ -155,7 +157,8 @@
     const bool late = part >= 1, slow = part > kSlowPart;
     // Guards against refusing long after a jam: the longer all is in time, the faster shedding falls.
     in_time_run_ = late ? 0 : in_time_run_ + 1;
-    const double fall = in_time_run_ > kCalmRun ? kShedUp : kShedDown;
+    // What is shed gives no answers: each one in time stands for all arrivals of which it was let through.
+    const double fall = (in_time_run_ > kCalmRun ? kShedUp : kShedDown) / (1 - shed_);
     shed_ = std::clamp(shed_ + (late ? kShedUp : -fall), 0.0, kMaxShed);
     if (p.attempts.empty()) return;
     const auto& listing = replicas_.at(p.attempts.back().replica).listing;
@@ -163,6 +166,9 @@
     // Guards against kinds that are slower than listed, or slowed together: their intervals narrow.
     double& pace = pace_.try_emplace(listing.kind, 1.0).first->second;
     pace = std::clamp(pace * (slow ? 1 - kPaceDown : 1 + kPaceUp), kMinPace, 1.0);
+    // ... and against single ones that slow down: a box that ages is slow long before it falls.
+    double& single = replicas_.at(p.attempts.back().replica).pace;
+    single = std::clamp(single * (slow ? 1 - kSinglePaceDown : 1 + kSinglePaceUp), kMinPace, 1.0);
     if (own) spill_ += slow ? kSpillUp : -kSpillDown;
     if (!own && slow) spill_ -= 2 * kSpillUp;
     spill_ = std::clamp(spill_, 0.0, kMaxSpill);
@@ -243,7 +249,7 @@
 
   double capacity_of(const Replica& r) const {
     const auto pace = pace_.find(r.listing.kind);
-    return std::max(1e-3, r.listing.weight * (pace == pace_.end() ? 1 : pace->second));
+    return std::max(1e-3, r.listing.weight * r.pace * (pace == pace_.end() ? 1 : pace->second));
   }
 
   // A newcomer's share rises from zero: it can do only part of its work, and all routers send to it.
@@ -577,7 +583,7 @@
       Replica& r = replicas_[entry.id];
       const bool restarted = entry.started > r.listing.started;
       r.listing = entry;
-      if (restarted) r.failures = 0, r.ejected_until = 0;
+      if (restarted) r.failures = 0, r.ejected_until = 0, r.pace = 1;
     }
     forget_gone();
   }
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -144,6 +144,20 @@
   f.list({});
 }
 
+TEST(Health, ASingleReplicaWhoseAnswersAreSlowGetsLessThanOthersOfItsKind) {
+  Fixture f;
+  f.list_plain(4);
+  std::map<ReplicaId, int> met;
+  for (int i = 0; i < 400; ++i) {
+    const auto to = sent_to(f.arrive({.prompt_tokens = 100, .session = static_cast<std::uint64_t>(i + 1)}));
+    if (i >= 200) ++met[to];
+    if (to == 20) f.advance(kSecond + kSecond / 2);  // slow, but not late
+    if (to != 0) f.serve(f.last.id, to);
+  }
+  EXPECT_GT(met[20], 0);
+  EXPECT_LT(6 * met[20], met[10] + met[30] + met[40]);  // under half of the others' mean
+}
+
 TEST(Health, ARestartUnderTheSameIdClearsTheRecord) {
   Fixture f;
   f.list_plain(2);
@@ -291,6 +305,21 @@
   EXPECT_GT(sent[0], sent[1]);
 }
 
+// What is shed gives no answers: at 0.9 one answer once stood for itself alone, and recovery took ten times
+// as long.
+TEST(Overload, SheddingFallsByTheArrivalsThatAnAnswerStandsFor) {
+  Fixture f;
+  f.list_plain(2);
+  sent_part_under_jam(f, {.prompt_tokens = 100});
+  int arrivals = 0;
+  for (int run = 0; run < 10 && arrivals < 500; ++arrivals) {
+    const auto to = sent_to(f.arrive_sized(100));
+    run = to != 0 ? run + 1 : 0;
+    if (to != 0) f.serve(f.last.id, to);
+  }
+  EXPECT_LT(arrivals, 90);
+}
+
 TEST(Overload, SheddingEndsSoonAfterAJam) {
   Fixture f;
   f.list_plain(2);
