--- a/src/node.cpp
+++ b/src/node.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "logging/log.hpp"
+#include "tracing/trace.hpp"
 
 namespace sprucecourse {
 namespace {
@@ -139,7 +140,7 @@
       config.settings,
       core::Surroundings{clock_, servers_, routes_, peers_, [this](const core::Tally& tally) { record(tally); },
                          beliefs_.get()},
-      make_decider());
+      tracing::traced(make_decider(), [this](ReplicaId id) { return uid_of(id); }));
   clock_.wake = [this] { core_->wake(); };
   servers_.serve(*core_);
   if (!config_.added.catalogue.empty()) {
