Ask discovery less often the more routers ask, and once instead of twice at the start

Cause: src/rules.cpp ask_pause (156 ms to 2.5 s whatever the number of routers), its use at the start, and src/net/route_table.cpp watch(), which asked with wait_ms=0 and then again. Ruled out: the renewals of a watch (answered to the millisecond after their wait, never queued, so they are left as they are); a pause after news (drain rule broken: what changes within 200 ms of an answer counts as told); the whole list instead (costs by the line, 14 calls a second failed again). Change: the pause grows by the number of routers (an eighth each), 24 s at most; the first call is spread over four pauses; a router with a list asks one waiting call. Test: AHundredRoutersAreAllToldEvenWhenSeventyStartAnewAtOnce (624 failed calls without the change).

--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -45,9 +45,9 @@
 void RouteTable::watch() {
   watching_ = true;
   if (asking_) return;
-  // The first call asks for what is known now; only then is there something to wait for.
-  fresh_watch_ = true;
-  ask(!has_rev_, 0);
+  // Without a list the first call asks for what is known now; only then is there something to wait for. With one, a
+  // call that asks and another that waits would be two for discovery, which works through those of all routers in turn.
+  ask(!has_rev_, has_rev_ ? kWait : 0);
 }
 
 void RouteTable::fetch() {
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -77,7 +77,7 @@
   Timer limit_;
   simdjson::dom::parser parser_;
   std::uint64_t rev_ = 0;
-  bool has_rev_ = false, asking_ = false, watching_ = false, fresh_watch_ = true;
+  bool has_rev_ = false, asking_ = false, watching_ = false;
 };
 
 }  // namespace sprucecourse::net
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,6 +62,8 @@
 constexpr double kTenantFade = 0.98;   // of earlier usage, with each request
 constexpr Time kRefresh = 250'000;     // microseconds between recuts that follow warmth and health
 constexpr int kAskBackoffs = 4;        // doublings of the wait between calls of the directory
+constexpr double kAskEach = 0.125;     // of that wait, for each router that calls the same directory
+constexpr double kLongestAsk = 2.4;    // times the time allowed unasked: its longest wait
 constexpr std::uint32_t kDirectoryTimer = 0;
 
 // ------------------------------------------------------------------ words of the rules
@@ -81,7 +83,8 @@
   State(const Settings& settings, Time now) : Records(settings) {
     for (const auto& c : settings.classes) longest_aim_ = std::max(longest_aim_, c.aim);
     // Guards against all routers calling the directory in the same moment when they start together.
-    if (settings.directory_must_ask) set_timer(now + jittered(ask_pause()), kDirectoryTimer);
+    const double pause = 4 * draw() * static_cast<double>(ask_pause());
+    if (settings.directory_must_ask) set_timer(now + static_cast<Time>(pause), kDirectoryTimer);
   }
 
   // ---------------------------------------------------------------- a request arrives
@@ -629,8 +632,15 @@
     set_timer(now + jittered(ask_pause()), kDirectoryTimer);
   }
 
-  // The wait before a call of the directory; even at its longest it is within the time allowed unasked.
-  Time ask_pause() const { return (settings_.ask_within >> (kAskBackoffs + 2)) << ask_failures_; }
+  // The wait before a call of the directory, the longer the more routers call it: guards against a queue in
+  // which all fail, and ask again. At its longest it is within the time allowed after a failure, four times
+  // the usual.
+  Time ask_pause() const {
+    const double crowd = std::max(1.0, settings_.group_size * kAskEach);
+    const Time alone = (settings_.ask_within >> (kAskBackoffs + 2)) << ask_failures_;
+    const double longest = kLongestAsk * static_cast<double>(settings_.ask_within);
+    return static_cast<Time>(std::min(static_cast<double>(alone) * crowd, longest));
+  }
 
   void ask() {
     if (!subscribed_) actions_.push_back({.kind = ActionKind::watch_directory});
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <memory>
+#include <numeric>
 
 #include "support.hpp"
 
@@ -432,6 +434,55 @@
   }
 }
 
+// A directory that works through the calls of all routers in turn, 20 a second. One that has waited for 2 s fails, and
+// was work all the same. Returns the calls of each second that failed; the routers of `again` start anew at 10 s.
+std::vector<int> failed_calls(std::uint32_t routers, std::uint32_t again, int seconds) {
+  auto s = asking();
+  s.group_size = routers;
+  std::vector<std::unique_ptr<Fixture>> fleet(routers);
+  std::vector<std::pair<Time, std::uint32_t>> due;  // of calls: when they are answered or fail
+  std::vector<int> failed(static_cast<std::size_t>(seconds));
+  const Time start = 1000 * kSecond, tick = 10'000;
+  Time free_at = start;
+  const auto begin = [&](std::uint32_t r, Time now) {
+    s.seed = 1000 + r + static_cast<std::uint64_t>(now);
+    std::erase_if(due, [&](auto& d) { return d.second == r; });
+    fleet[r] = std::make_unique<Fixture>(s, now);
+  };
+  for (std::uint32_t r = 0; r < routers; ++r) begin(r, start);
+  for (Time now = start; now < start + seconds * kSecond; now += tick) {
+    for (std::uint32_t r = 0; r < again && now == start + 10 * kSecond; ++r) begin(r, now);
+    for (const auto& [at, r] : std::exchange(due, {})) {
+      if (at > now) {
+        due.emplace_back(at, r);
+        continue;
+      }
+      fleet[r]->now = now;
+      const bool late = at % 2 == 1;  // marked so when it was made
+      if (late) ++failed[static_cast<std::size_t>((now - start) / kSecond)];
+      fleet[r]->list({}, late ? DirectoryScope::failed : DirectoryScope::delta);
+    }
+    for (std::uint32_t r = 0; r < routers; ++r) {
+      if (only(fleet[r]->advance(now - fleet[r]->now), ActionKind::watch_directory).empty()) continue;
+      free_at = std::max(free_at, now) + kSecond / 20;
+      const Time wait = std::min(free_at - now, 2 * kSecond) / 2 * 2;
+      due.emplace_back(now + wait + (wait == 2 * kSecond ? 1 : 0), r);
+    }
+  }
+  return failed;
+}
+
+// Guards against a hundred calls in one moment, of which those that fail come again and keep the queue full.
+TEST(Directory, AHundredRoutersAreAllToldEvenWhenSeventyStartAnewAtOnce) {
+  const auto failed = failed_calls(100, 70, 30);
+  EXPECT_EQ(std::accumulate(failed.begin(), failed.end(), 0), 0);
+}
+
+TEST(Directory, AFewRoutersAskAsSoonAsBefore) {
+  Fixture f(asking());
+  EXPECT_EQ(only(f.advance(kSecond), ActionKind::watch_directory).size(), 1u);
+}
+
 TEST(Directory, RoutersThatStartTogetherAskSpreadOut) {
   std::set<Time> asked;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -408,7 +408,7 @@
 TEST_CASE("the list is watched again at once, and a drain takes effect") {
   Play play;
   play.run(R"(
-    list expect GET /registry/instances?after=1&wait_ms=0 
+    list expect GET /registry/instances?after=1&wait_ms=5000 
     list send $json({"rev":2,"all":false,"targets":[]})
     list expect GET /registry/instances?after=2&wait_ms=5000 
     list send $json({"rev":3,"all":false,"targets":[{"uid":"s-01","state":"DRAINING"}]})
@@ -499,7 +499,7 @@
 TEST_CASE("a new address of discovery is asked for its whole list at once, and the old one is not heard") {
   Play play;
   play.run(R"(
-    list expect GET /registry/instances?after=1&wait_ms=0 
+    list expect GET /registry/instances?after=1&wait_ms=5000 
     list send $json({"rev":7,"all":false,"targets":[]})
     list expect GET /registry/instances?after=7&wait_ms=5000 
     router turn
