Let routers of a large group tell each other which boxes fail or are slow

Cause: src/rules.cpp failed(), feel() and the shedding in it learn for each answer, and a router of a hundred gets one answer a second and sees a single box twice a minute: three points in a row, a pace by 8 % an answer and shedding that falls by 1 % an answer never come in time. Change: src/notes.* (5 bytes a note, 50 in a message, a peer believed 100 times a second); in groups above 16 the module tells all of failures, silence, slow and late answers, ejects at 6 fading points of others, narrows paces, and sheds by the lateness of all. A smaller group sends and believes nothing.

--- a/src/emulator/result.hpp
+++ b/src/emulator/result.hpp
@@ -61,6 +61,7 @@
   double window_s = 10, sample_s = 1;
   double score = 0;  // parts as docs/lab.md, "Score"
   Worth whole;
+  std::uint64_t told_bytes = 0;  // of messages between routers, for each that one was sent to
   std::uint64_t turns = 0, tries = 0, hops = 0, crossings = 0, events = 0;
   double prompt_tokens = 0, kept_tokens = 0;  // of answers that began
   double work_asked = 0, work_wasted = 0;
--- a/src/emulator/routers.cpp
+++ b/src/emulator/routers.cpp
@@ -141,6 +141,13 @@
 }
 
 void EmulatedRouter::tell(std::uint32_t rank, const std::string& message) {
+  if (rank == Notes::kAll) {
+    for (std::uint32_t other = 0; other < day_.routers.size(); ++other) {
+      if (other != number) tell(other, message);
+    }
+    return;
+  }
+  day_.result.told_bytes += message.size();
   if (rank >= day_.routers.size() || day_.peer_chance.happens(day_.scenario.peer_loss)) return;
   for (std::size_t i = 0; i < day_.troubles.size(); ++i) {
     const bool cut = day_.troubles[i].on && day_.scenario.troubles[i].kind == TroubleKind::partition;
@@ -223,6 +230,7 @@
   s.directory_must_ask = true;
   s.weights = Weights::nominal;
   s.may_cancel = true;
+  s.may_tell_peers = scenario.peers;
   s.retry_after = scenario.retry_after;
   s.max_retry_after = static_cast<Time>(1000 * scenario.most_retry_after_ms);
   s.max_attempts = static_cast<std::uint32_t>(scenario.attempts);
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -152,6 +152,7 @@
     router.flag("retry_after", s.retry_after);
     router.number("most_retry_after_ms", s.most_retry_after_ms, 0, 600'000);
     router.flag("affinity", s.affinity);
+    router.flag("peers", s.peers);
     router.flag("fair", s.fair);
     router.count("affinity_entries", s.affinity_entries, 16, 100'000'000);
   }
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -93,6 +93,7 @@
   bool retry_after = true;
   double most_retry_after_ms = 2000;
   bool affinity = true;
+  bool peers = true;  // routers may send each other messages
   std::size_t affinity_entries = 100'000;
   bool fair = false;  // weighted fair admission by the members' shares (src/budgets/fair.hpp)
   std::string policy = "module";
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -2,10 +2,12 @@
 // Types and storage only; every decision is in rules.cpp.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <stdexcept>
 #include <unordered_map>
 
+#include "notes.hpp"
 #include "sprucecourse/rules.hpp"
 
 namespace sprucecourse {
@@ -17,6 +19,7 @@
   Time ejected_until = 0;
   double pace = 1;      // learned; falls while its answers are slow
   Time last_alive = 0;  // when it last answered anything
+  Fading told;          // points of failures that other routers told of
 };
 
 struct Attempt {
@@ -47,8 +50,26 @@
   std::vector<double> edges;
   double fill = 0;  // part of the usual load that its shares can take now
   bool any_warm = false;
+
+  std::size_t member_at(double position) const {
+    const auto at = std::upper_bound(edges.begin(), edges.end(), position);
+    return std::min<std::size_t>(static_cast<std::size_t>(at - edges.begin()), members.size() - 1);
+  }
+  std::size_t adjacent(std::size_t owner) const {
+    if (owner + 1 < members.size()) return owner + 1;
+    return owner == 0 ? 0 : owner - 1;
+  }
 };
 
+inline bool never_ran(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
+}
+
+inline bool is_failure(Outcome outcome) {
+  return outcome == Outcome::error || outcome == Outcome::timed_out || outcome == Outcome::connect_failed ||
+         outcome == Outcome::reset;
+}
+
 inline std::uint64_t mix(std::uint64_t value) {
   value += 0x9e3779b97f4a7c15ULL;
   value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -66,6 +87,14 @@
     check_settings(settings);
   }
 
+  // Bounds the memory and lets old heat fade: halves all, drops what is now below the mean.
+  void forget_prefixes() {
+    const double mean = prefix_total_ / static_cast<double>(prefix_work_.size());
+    std::erase_if(prefix_work_, [&](const auto& entry) { return entry.second < mean; });
+    prefix_total_ = 0;
+    for (auto& [prefix, work] : prefix_work_) prefix_total_ += work /= 2;
+  }
+
   std::vector<Action> actions_;
   Settings settings_;
   std::uint64_t random_;
@@ -87,6 +116,7 @@
   bool dirty_ = true;
   Time cut_at_ = 0;
   double retry_budget_ = 0;
+  Notes notes_;
   double mean_work_ = 0;  // of the sizes in the cut
   bool subscribed_ = false;
   int ask_failures_ = 0;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,17 +64,11 @@
 constexpr int kAskBackoffs = 4;        // doublings of the wait between calls of the directory
 constexpr double kAskEach = 0.125;     // of that wait, for each router that calls the same directory
 constexpr double kLongestAsk = 2.4;    // times the time allowed unasked: its longest wait
-constexpr std::uint32_t kDirectoryTimer = 0;
-
-// ------------------------------------------------------------------ words of the rules
-bool never_ran(Outcome outcome) {
-  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
-}
-
-bool is_failure(Outcome outcome) {
-  return outcome == Outcome::error || outcome == Outcome::timed_out || outcome == Outcome::connect_failed ||
-         outcome == Outcome::reset;
-}
+constexpr std::uint32_t kDirectoryTimer = 0, kNotesTimer = 1;
+constexpr std::uint32_t kThin = 16;       // routers beyond which each sees too little of a replica alone ...
+constexpr double kOneOf = 8;              // ... and weighs what it sees as one of so many in the group
+constexpr double kToldEject = 6;          // points told of by others, fading, that eject a replica
+constexpr double kPaceMend = 10'000'000;  // microseconds in which a single pace mends in a large group
 
 }  // namespace
 
@@ -164,34 +158,48 @@
     // Guards against refusing long after a jam: the longer all is in time, the faster shedding falls.
     in_time_run_ = late ? 0 : in_time_run_ + 1;
     // What is shed gives no answers: each one in time stands for all arrivals of which it was let through.
-    const double fall = (in_time_run_ > kCalmRun ? kShedUp : kShedDown) / (1 - shed_);
-    shed_ = std::clamp(shed_ + (late ? kShedUp : -fall), 0.0, kMaxShed);
+    const double fall = thin() ? kShedDown * kOneOf : in_time_run_ > kCalmRun ? kShedUp : kShedDown;
+    shed_ = std::clamp(shed_ + (late ? jam() : -fall / (1 - shed_)), 0.0, kMaxShed);
     if (p.attempts.empty()) return;
-    const auto& listing = replicas_.at(p.attempts.back().replica).listing;
-    const bool own = listing.zone == settings_.zone;
+    Replica& r = replicas_.at(p.attempts.back().replica);
+    if (slow) tell(now, r, late ? Seen::late : Seen::slow);
+    const bool own = r.listing.zone == settings_.zone;
     // Guards against kinds that are slower than listed, or slowed together: their intervals narrow.
-    double& pace = pace_.try_emplace(listing.kind, 1.0).first->second;
-    pace = std::clamp(pace * (slow ? 1 - kPaceDown : 1 + kPaceUp), kMinPace, 1.0);
+    double& pace = pace_.try_emplace(r.listing.kind, 1.0).first->second;
+    if (!thin()) pace = std::clamp(pace * (slow ? 1 - kPaceDown : 1 + kPaceUp), kMinPace, 1.0);
     // ... and against single ones that slow down: a box that ages is slow long before it falls.
-    double& single = replicas_.at(p.attempts.back().replica).pace;
-    single = std::clamp(single * (slow ? 1 - kSinglePaceDown : 1 + kSinglePaceUp), kMinPace, 1.0);
+    r.pace = std::clamp(r.pace * (slow ? 1 - kSinglePaceDown : 1 + kSinglePaceUp), kMinPace, 1.0);
     if (own) spill_ += slow ? kSpillUp : -kSpillDown;
     if (!own && slow) spill_ -= 2 * kSpillUp;
     spill_ = std::clamp(spill_, 0.0, kMaxSpill);
   }
 
-  // Bounds the memory and lets old heat fade: halves all, drops what is now below the mean.
-  void forget_prefixes() {
-    const double mean = prefix_total_ / static_cast<double>(prefix_work_.size());
-    std::erase_if(prefix_work_, [&](const auto& entry) { return entry.second < mean; });
-    prefix_total_ = 0;
-    for (auto& [prefix, work] : prefix_work_) prefix_total_ += work /= 2;
+  // A router of a large group sees too few answers to learn in time, so all tell each other of the bad ones.
+  bool thin() const { return settings_.may_tell_peers && settings_.group_size > kThin; }
+  double jam() const { return kShedUp * (thin() ? kOneOf / settings_.group_size : 1); }
+
+  void tell(Time now, const Replica& r, Seen seen) {
+    if (thin() && notes_.add({r.listing.id, seen})) set_timer(now + Notes::kGather, kNotesTimer);
+  }
+
+  void told(Time now, const Note& note) {
+    const auto found = replicas_.find(note.replica);
+    if (found == replicas_.end()) return;
+    Replica& r = found->second;
+    if (note.seen == Seen::late) shed_ = std::min(kMaxShed, shed_ + jam());
+    if (note.seen >= Seen::slow) r.pace = std::max(kMinPace, r.pace * (1 - kSinglePaceDown));
+    if (note.seen >= Seen::slow || now < r.ejected_until) return;
+    if (r.told.add(now, note.seen == Seen::silent ? kSlowPoints : kQuickPoints) < kToldEject) return;
+    r.told = {};
+    blame(now, r, std::max(kSlowPoints, kEjectAt - r.failures));
   }
 
   // ---------------------------------------------------------------- the cut
   void recut(Time now) {
     if (!dirty_ && now < cut_at_ + kRefresh) return;
     dirty_ = false;
+    const double mend = thin() ? std::min(1.0, static_cast<double>(now - cut_at_) / kPaceMend) : 0;
+    for (auto& [id, r] : replicas_) r.pace += mend * (1 - r.pace);
     cut_at_ = now;
     cut_sizes();
     own_ = cut_over(now, true);
@@ -282,7 +290,7 @@
     if (cut == nullptr) return away_.members.empty() && own_.members.empty() ? wait_for_list(now, p) : end(p);
     const std::size_t owner = owner_in(*cut, p);
     Replica* target = cut->members[owner];
-    Replica* next = cut->members[adjacent(*cut, owner)];
+    Replica* next = cut->members[cut->adjacent(owner)];
     if (next != target && warmth(now, *next) >= 1 && clearly_busier(*target, *next)) target = next;
     if (spares_cold(now, p, *target)) target = neighbour(now, p, *target);
     if (target == nullptr) return end(p);
@@ -314,12 +322,7 @@
       const std::size_t owner = owner_in_band(cut, low, high, key);
       return holder_in_band(cut, low, high, owner, p.request.belief);
     }
-    return member_at(cut, told_apart ? work_below(size_of(p.request)) : draw());
-  }
-
-  static std::size_t member_at(const Cut& cut, double position) {
-    const auto at = std::upper_bound(cut.edges.begin(), cut.edges.end(), position);
-    return std::min<std::size_t>(static_cast<std::size_t>(at - cut.edges.begin()), cut.members.size() - 1);
+    return cut.member_at(told_apart ? work_below(size_of(p.request)) : draw());
   }
 
   // Equal parts of the work, their edges moved to a coarse grid of sizes so that routers that saw other
@@ -346,7 +349,7 @@
   // Weighted rendezvous over the replicas of a band: a session keeps its replica, and so its kept prompt,
   // while others join, leave or change their share.
   static std::size_t owner_in_band(const Cut& cut, double low, double high, std::uint64_t key) {
-    std::size_t best = member_at(cut, low);
+    std::size_t best = cut.member_at(low);
     double best_score = std::numeric_limits<double>::infinity();
     for (std::size_t i = best; i < cut.members.size(); ++i) {
       const double from = std::max(low, i == 0 ? 0 : cut.edges[i - 1]);
@@ -363,7 +366,7 @@
   std::size_t holder_in_band(const Cut& cut, double low, double high, std::size_t owner,
                              const Belief& belief) const {
     if (!belief.known) return owner;
-    for (std::size_t i = member_at(cut, low); i < cut.members.size(); ++i) {
+    for (std::size_t i = cut.member_at(low); i < cut.members.size(); ++i) {
       if ((i == 0 ? 0 : cut.edges[i - 1]) >= high) break;
       if (cut.members[i]->listing.id != belief.replica) continue;
       return clearly_busier(*cut.members[i], *cut.members[owner]) ? owner : i;
@@ -382,11 +385,6 @@
     return mix(r.prefix) + mix(r.session) % parts;
   }
 
-  static std::size_t adjacent(const Cut& cut, std::size_t owner) {
-    if (owner + 1 < cut.members.size()) return owner + 1;
-    return owner == 0 ? 0 : owner - 1;
-  }
-
   bool clearly_busier(const Replica& owner, const Replica& next) const {
     const double fair = capacity_of(owner) / capacity_of(next);
     return owner.in_flight > fair * kStepRatio * next.in_flight + kStepMargin;
@@ -530,7 +528,8 @@
     const Attempt& a = p.attempts.back();
     Replica& r = replicas_.at(a.replica);
     if (!a.outstanding || r.last_alive >= a.sent || shed_ > kJammed) return;
-    failed(now, r, kSlowPoints);
+    blame(now, r, kSlowPoints);
+    tell(now, r, Seen::slow);
     if (settings_.second_copies && now < r.ejected_until) second_attempt(now, p, r);
   }
 
@@ -587,6 +586,11 @@
   // quick ones twice: a busy replica is silent at times, any one may spoil an answer or drop a connection,
   // and leaving out those that answer all else jams the rest.
   void failed(Time now, Replica& r, int points) {
+    tell(now, r, points == kQuickPoints ? Seen::stumbled : Seen::silent);
+    blame(now, r, points);
+  }
+
+  void blame(Time now, Replica& r, int points) {
     if (now < r.ejected_until) return;
     r.failures += points;
     if (r.failures < kEjectAt) return;
@@ -637,9 +641,9 @@
   // the usual.
   Time ask_pause() const {
     const double crowd = std::max(1.0, settings_.group_size * kAskEach);
-    const Time alone = (settings_.ask_within >> (kAskBackoffs + 2)) << ask_failures_;
-    const double longest = kLongestAsk * static_cast<double>(settings_.ask_within);
-    return static_cast<Time>(std::min(static_cast<double>(alone) * crowd, longest));
+    const auto alone = static_cast<double>((settings_.ask_within >> (kAskBackoffs + 2)) << ask_failures_);
+    return static_cast<Time>(
+        std::min(alone * crowd, kLongestAsk * static_cast<double>(settings_.ask_within)));
   }
 
   void ask() {
@@ -652,13 +656,17 @@
   }
 
   void set_review(const Pending& p, Time when) {
-    if (++last_token_ == kDirectoryTimer) ++last_token_;
+    last_token_ = std::max(last_token_ + 1, kNotesTimer + 1);
     reviews_[last_token_] = p.request.id;
     set_timer(std::min(when, p.request.due), last_token_);
   }
 
   void timer(Time now, std::uint32_t token) {
     if (token == kDirectoryTimer) return ask();
+    if (token == kNotesTimer) {
+      actions_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = notes_.message()});
+      return;
+    }
     const auto review_of = reviews_.find(token);
     if (review_of == reviews_.end()) return;
     const auto found = pending_.find(review_of->second);
@@ -689,7 +697,10 @@
 void Router::on_probe_result(Time now, ReplicaId replica, bool alive, std::span<const float>) {
   if (alive) state_->alive(now, replica);
 }
-void Router::on_peer_message(Time, std::uint32_t, std::span<const std::uint8_t>) {}
+void Router::on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message) {
+  if (!state_->thin() || peer == state_->settings_.rank) return;
+  for (const Note& note : state_->notes_.read(now, peer, message)) state_->told(now, note);
+}
 std::vector<Action> Router::take_actions() { return std::exchange(state_->actions_, {}); }
 
 }  // namespace sprucecourse
--- a/tests/emulator/days.cpp
+++ b/tests/emulator/days.cpp
@@ -158,6 +158,25 @@
   }
 }
 
+// The count: of 100 routers none sees much of any box; alone they go on sending to a lost hall, and shed for long.
+TEST_CASE("a hundred routers that tell each other of failing and slow boxes bear the loss of a hall") {
+  Scenario s = read_scenario(std::string(THORNWICK_EXAMPLES) + "/lab/suva-vast.toml");
+  for (const std::uint64_t seed : {1u, 2u}) {
+    s.peers = true;
+    const Result together = play_day(s, seed);
+    s.peers = false;
+    const Result alone = play_day(s, seed);
+    INFO("seed " << seed << ": " << together.score << " against " << alone.score);
+    CHECK(together.broken.all() == 0);
+    CHECK(alone.broken.all() == 0);
+    CHECK(together.score > 0.85);
+    CHECK(together.score > alone.score + 0.08);
+    CHECK(together.sum.shed * 4 < alone.sum.shed);
+    CHECK(alone.told_bytes == 0);
+    CHECK(static_cast<double>(together.told_bytes) / 256 < static_cast<double>(together.turns));
+  }
+}
+
 TEST_CASE("a malformed scenario is told line by line, with its key") {
   CHECK(bad_scenario("[day]\nseconds = \"long\"\n[fleet]\nboxes = 0\nboxen = 3\n[moon]\n") ==
         "s:2: day.seconds: not a number\ns:4: fleet.boxes: outside 1..100000\ns:5: fleet.boxen: no such key\n"
--- /dev/null
+++ b/tests/notes_test.cpp
@@ -0,0 +1,142 @@
+// What routers of a large group tell each other: the words, and what the module makes of them.
+#include "notes.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace sprucecourse::testing {
+namespace {
+
+std::vector<std::uint8_t> bytes_of(const std::string& text) { return {text.begin(), text.end()}; }
+
+std::string message_of(std::vector<Note> notes) {
+  Notes all;
+  for (const auto& note : notes) all.add(note);
+  return all.message();
+}
+
+Settings thin_settings() {
+  auto s = plain_settings();
+  s.group_size = 100;
+  s.rank = 3;
+  s.may_tell_peers = true;
+  s.second_copies = false;
+  return s;
+}
+
+void hear(Fixture& f, std::uint32_t peer, std::vector<Note> notes) {
+  f.router.on_peer_message(f.now, peer, bytes_of(message_of(std::move(notes))));
+  f.absorb();
+}
+
+std::map<ReplicaId, int> sent(Fixture& f, int requests) {
+  std::map<ReplicaId, int> to;
+  for (int i = 0; i < requests; ++i) {
+    f.advance(20'000);
+    const auto id = Fixture::sent_replica(f.arrive({.prompt_tokens = 100, .session = 77u + static_cast<unsigned>(i)}));
+    f.serve(f.last.id, id);
+    ++to[id];
+  }
+  return to;
+}
+
+TEST(Notes, ComeBackAsTheyWereAndAMessageHoldsFiftyAtMost) {
+  Notes notes;
+  for (std::uint32_t i = 0; i < 60; ++i) EXPECT_EQ(notes.add({0xfffffff0u - i, Seen::late}), i == 0);
+  const auto text = notes.message();
+  EXPECT_LE(text.size(), 256u);
+  EXPECT_TRUE(notes.message().empty());
+  const auto read = notes.read(kSecond, 7, bytes_of(text));
+  ASSERT_EQ(read.size(), Notes::kMost);
+  EXPECT_EQ(read.back().replica, 0xfffffff0u - 49);
+  EXPECT_EQ(read.back().seen, Seen::late);
+}
+
+TEST(Notes, OfAMessageThatIsCutForeignOrTooLongNothingIsBelieved) {
+  const auto good = bytes_of(message_of({{1, Seen::slow}, {2, Seen::silent}}));
+  Notes notes;
+  std::uint64_t bad = 0;
+  for (std::size_t cut = 0; cut < good.size(); ++cut) {
+    const bool whole = cut == 7;  // one note and its head is a message of its own
+    EXPECT_EQ(notes.read(kSecond, 1, std::span(good).first(cut)).size(), whole ? 1u : 0u) << cut;
+    bad += !whole;
+  }
+  for (std::size_t at : {0u, 1u, 6u}) {
+    auto wrong = good;
+    wrong[at] ^= 0x80;
+    EXPECT_TRUE(notes.read(kSecond, 1, wrong).empty()) << at;
+    ++bad;
+  }
+  EXPECT_TRUE(notes.read(kSecond, 1, std::vector<std::uint8_t>(2000, 0x54)).empty());
+  EXPECT_TRUE(notes.read(kSecond, 1'000'000, good).empty());
+  EXPECT_EQ(notes.unreadable(), bad + 2);
+}
+
+TEST(Notes, APeerIsBelievedSoManyASecondAndNoMore) {
+  Notes notes;
+  const auto full = bytes_of(message_of(std::vector<Note>(50, {1, Seen::silent})));
+  std::size_t believed = 0;
+  for (int i = 0; i < 100; ++i) believed += notes.read(kSecond + i * 10'000, 5, full).size();
+  EXPECT_GE(believed, 100u);
+  EXPECT_LE(believed, 200u);
+  EXPECT_EQ(believed + notes.ignored(), 5000u);
+  EXPECT_EQ(notes.read(kSecond, 6, full).size(), 50u);  // others are heard as before
+}
+
+TEST(LargeGroup, LeavesOutAReplicaThatOthersFoundSilentAndTakesItBack) {
+  Fixture f(thin_settings());
+  f.list_plain(4);
+  EXPECT_GT(sent(f, 40)[20], 0);
+  for (std::uint32_t peer : {10u, 11u, 12u}) hear(f, peer, {{20, Seen::silent}});
+  EXPECT_EQ(sent(f, 40)[20], 0);
+  f.advance(10 * kSecond);
+  EXPECT_GT(sent(f, 40)[20], 0);
+}
+
+TEST(LargeGroup, SingleFailuresHereAndThereEjectNobody) {
+  Fixture f(thin_settings());
+  f.list_plain(4);
+  for (std::uint32_t i = 0; i < 20; ++i) {
+    f.advance(kSecond);
+    hear(f, 10 + i, {{20, Seen::stumbled}});
+  }
+  EXPECT_GT(sent(f, 40)[20], 0);
+}
+
+TEST(LargeGroup, SendsLessToAReplicaThatOthersFindSlowUntilThatFades) {
+  Fixture f(thin_settings());
+  f.list_plain(4);
+  const int before = sent(f, 200)[20];
+  for (std::uint32_t peer = 10; peer < 30; ++peer) hear(f, peer, {{20, Seen::slow}});
+  const int during = sent(f, 40)[20] * 5;
+  EXPECT_LT(during, before * 2 / 3);
+  f.advance(40 * kSecond);
+  EXPECT_GT(sent(f, 200)[20], before * 3 / 4);
+}
+
+TEST(LargeGroup, TellsOthersOnceAndInOneMessage) {
+  Fixture f(thin_settings());
+  f.list_plain(2);
+  for (int i = 0; i < 5; ++i) {
+    const auto to = Fixture::sent_replica(f.arrive_sized(100));
+    f.result(f.last.id, 0, to, Outcome::connect_failed);
+  }
+  const auto told = only(f.advance(kSecond), ActionKind::tell_peer);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_EQ(told[0].token, Notes::kAll);
+  EXPECT_GE(told[0].message.size(), 2u + 5 * 5);
+}
+
+TEST(LargeGroup, AFewRoutersTellNothingAndBelieveNothing) {
+  auto s = thin_settings();
+  s.group_size = 4;
+  Fixture f(s);
+  f.list_plain(2);
+  const auto to = Fixture::sent_replica(f.arrive_sized(100));
+  f.result(f.last.id, 0, to, Outcome::connect_failed);
+  EXPECT_TRUE(only(f.advance(kSecond), ActionKind::tell_peer).empty());
+}
+
+}  // namespace
+}  // namespace sprucecourse::testing
