Let a router of a large group see more sizes before it cuts, and split prefixes later

Cause: src/rules.cpp owner_in(): 16 sizes, heavy ones among them, cut 40 boxes; work_below() then differs from router to router by a tenth of the fleet and more, so that each turn of a session, which comes to another router, has another place. affinity_key() splits a prefix into up to 64 parts where it is most of the little that one router has seen.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -18,6 +18,8 @@
 // ------------------------------------------------------------------ tunables (dimensionless unless named)
 constexpr std::size_t kWindow = 512;       // sizes remembered: a few minutes of a small router
 constexpr std::size_t kEnoughSizes = 16;   // before these are seen, sizes are not told apart
+constexpr std::size_t kSizesEach = 8;      // the same in a large group, for each replica that is cut over
+constexpr double kHeatPrior = 20;          // mean requests of other prefixes that it counts as seen
 constexpr std::size_t kRecutEvery = 16;    // new sizes that make the cutoffs worth recomputing
 constexpr std::size_t kPerBand = 8;        // replicas whose intervals form one band for sessions
 constexpr double kSizeGrid = 0.5;          // band edges sit on this many steps for each doubling of size
@@ -77,8 +79,9 @@
   State(const Settings& settings, Time now) : Records(settings) {
     for (const auto& c : settings.classes) longest_aim_ = std::max(longest_aim_, c.aim);
     // Guards against all routers calling the directory in the same moment when they start together.
-    const double pause = 4 * draw() * static_cast<double>(ask_pause());
-    if (settings.directory_must_ask) set_timer(now + static_cast<Time>(pause), kDirectoryTimer);
+    if (!settings.directory_must_ask) return;
+    const double first = settings.group_size > kThin ? 4 * draw() : 0.5 + draw();
+    set_timer(now + static_cast<Time>(first * static_cast<double>(ask_pause())), kDirectoryTimer);
   }
 
   // ---------------------------------------------------------------- a request arrives
@@ -182,6 +185,10 @@
     if (thin() && notes_.add({r.listing.id, seen})) set_timer(now + Notes::kGather, kNotesTimer);
   }
 
+  void tell_all() {
+    actions_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = notes_.message()});
+  }
+
   void told(Time now, const Note& note) {
     const auto found = replicas_.find(note.replica);
     if (found == replicas_.end()) return;
@@ -190,8 +197,7 @@
     if (note.seen >= Seen::slow) r.pace = std::max(kMinPace, r.pace * (1 - kSinglePaceDown));
     if (note.seen >= Seen::slow || now < r.ejected_until) return;
     if (r.told.add(now, note.seen == Seen::silent ? kSlowPoints : kQuickPoints) < kToldEject) return;
-    r.told = {};
-    blame(now, r, std::max(kSlowPoints, kEjectAt - r.failures));
+    r.told = {}, blame(now, r, std::max(kSlowPoints, kEjectAt - r.failures));
   }
 
   // ---------------------------------------------------------------- the cut
@@ -287,7 +293,8 @@
   void route(Time now, Pending& p) {
     recut(now);
     const Cut* cut = choose_cut(p);
-    if (cut == nullptr) return away_.members.empty() && own_.members.empty() ? wait_for_list(now, p) : end(p);
+    const bool nobody = away_.members.empty() && own_.members.empty();
+    if (cut == nullptr) return nobody ? set_review(p, now + kRefresh) : end(p);  // waits for a list
     const std::size_t owner = owner_in(*cut, p);
     Replica* target = cut->members[owner];
     Replica* next = cut->members[cut->adjacent(owner)];
@@ -315,7 +322,9 @@
 
   // The owner of a size; where the request names a session or prefix, one of the owners in its band.
   std::size_t owner_in(const Cut& cut, const Pending& p) {
-    const bool told_apart = next_sample_ >= kEnoughSizes && !sorted_.empty();
+    // Guards against cutoffs that stray: a router of a large group cuts over many and sees few sizes.
+    const std::size_t enough = thin() ? kSizesEach * cut.members.size() : kEnoughSizes;
+    const bool told_apart = next_sample_ >= enough && !sorted_.empty();
     const std::uint64_t key = affinity_key(p.request, cut);
     if (key != 0) {
       const auto [low, high] = told_apart ? band_of(size_of(p.request), cut) : std::pair{0.0, 1.0};
@@ -378,7 +387,9 @@
   std::uint64_t affinity_key(const Request& r, const Cut& cut) const {
     if (r.prefix == 0 || r.prefix_tokens * 2 < r.prompt_tokens) return r.session != 0 ? r.session : r.prefix;
     const auto found = prefix_work_.find(r.prefix);
-    const double heat = found == prefix_work_.end() ? 0 : found->second / std::max(1e-9, prefix_total_);
+    // Guards against splitting a prefix that one router of many happens to have seen first.
+    const double total = prefix_total_ + (thin() ? kHeatPrior * mean_work_ : 0);
+    const double heat = found == prefix_work_.end() ? 0 : found->second / std::max(1e-9, total);
     const double wanted = heat * static_cast<double>(cut.members.size()) / kPartOfShare;
     std::size_t parts = 1;
     while (static_cast<double>(parts) < wanted && parts < kMaxParts) parts *= 2;
@@ -533,8 +544,6 @@
     if (settings_.second_copies && now < r.ejected_until) second_attempt(now, p, r);
   }
 
-  void wait_for_list(Time now, Pending& p) { set_review(p, std::min(now + kRefresh, p.request.due)); }
-
   // ---------------------------------------------------------------- the end of a request
   void end(Pending& p) {
     const bool refuse = may_refuse(p);
@@ -567,8 +576,6 @@
         {.kind = ActionKind::cancel, .id = p.request.id, .attempt = static_cast<std::uint8_t>(attempt)});
   }
 
-  void client_gone(RequestId id) { pending_.erase(id); }
-
   void shared_send(ReplicaId id) {
     if (const auto found = replicas_.find(id); found != replicas_.end()) ++found->second.in_flight;
   }
@@ -637,8 +644,7 @@
   }
 
   // The wait before a call of the directory, the longer the more routers call it: guards against a queue in
-  // which all fail, and ask again. At its longest it is within the time allowed after a failure, four times
-  // the usual.
+  // which all fail, and ask again. At its longest it is within the time allowed after a failure.
   Time ask_pause() const {
     const double crowd = std::max(1.0, settings_.group_size * kAskEach);
     const auto alone = static_cast<double>((settings_.ask_within >> (kAskBackoffs + 2)) << ask_failures_);
@@ -663,10 +669,7 @@
 
   void timer(Time now, std::uint32_t token) {
     if (token == kDirectoryTimer) return ask();
-    if (token == kNotesTimer) {
-      actions_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = notes_.message()});
-      return;
-    }
+    if (token == kNotesTimer) return tell_all();
     const auto review_of = reviews_.find(token);
     if (review_of == reviews_.end()) return;
     const auto found = pending_.find(review_of->second);
@@ -691,7 +694,7 @@
   state_->first_token(now, id, replica);
 }
 void Router::on_attempt_result(Time now, const AttemptResult& result) { state_->attempt_result(now, result); }
-void Router::on_client_gone(Time, RequestId id) { state_->client_gone(id); }
+void Router::on_client_gone(Time, RequestId id) { state_->pending_.erase(id); }
 void Router::on_shared_send(ReplicaId replica) { state_->shared_send(replica); }
 void Router::on_timer(Time now, std::uint32_t token) { state_->timer(now, token); }
 void Router::on_probe_result(Time now, ReplicaId replica, bool alive, std::span<const float>) {
--- a/tests/notes_test.cpp
+++ b/tests/notes_test.cpp
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <map>
+#include <memory>
+
 #include "support.hpp"
 
 namespace sprucecourse::testing {
@@ -128,6 +132,35 @@
   EXPECT_GE(told[0].message.size(), 2u + 5 * 5);
 }
 
+// Guards against cutoffs of a few sizes: sessions would have another place at each router.
+TEST(LargeGroup, RoutersThatSawDifferentSizesPlaceSessionsAlike) {
+  std::vector<std::unique_ptr<Fixture>> two;
+  for (std::uint32_t rank : {3u, 4u}) {
+    auto s = thin_settings();
+    s.rank = rank, s.seed = rank;
+    two.push_back(std::make_unique<Fixture>(s));
+    Fixture& f = *two.back();
+    f.list_plain(40);
+    for (int i = 0; i < 60; ++i) {
+      f.advance(kSecond);
+      const double size = 100 * std::pow(1.0 + 0.1 * rank, i % 20);
+      const auto to = Fixture::sent_replica(f.arrive({.prompt_tokens = size, .session = 1000u * rank + i}));
+      f.serve(f.last.id, to);
+    }
+  }
+  int alike = 0;
+  for (std::uint64_t session = 1; session <= 100; ++session) {
+    ReplicaId at[2];
+    for (std::size_t i : {0u, 1u}) {
+      Fixture& f = *two[i];
+      at[i] = Fixture::sent_replica(f.arrive({.prompt_tokens = 50.0 * session, .session = session}));
+      f.serve(f.last.id, at[i]);
+    }
+    alike += at[0] == at[1];
+  }
+  EXPECT_GT(alike, 95);
+}
+
 TEST(LargeGroup, AFewRoutersTellNothingAndBelieveNothing) {
   auto s = thin_settings();
   s.group_size = 4;
