--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -257,7 +257,7 @@
       double part = capacity_of(*r) * (believe ? health(now, *r) : 1);
       // A live weight shows that a newcomer is idle, not able: it counts as the warm mean at most.
       if (cut.any_warm && warmth(now, *r) < 1) part = own ? std::min(part, warm / warm_count) : 0;
-      part *= warmth(now, *r);
+      part *= thin() ? warmth(now, *r) * (2 - warmth(now, *r)) : warmth(now, *r);
       able += part * (warmth(now, *r) < 1 ? kColdHeadroom : headroom());
       if (part > 0) cut.edges.push_back(share += part);
       return part <= 0;
--- a/tests/notes_test.cpp
+++ b/tests/notes_test.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <tuple>
 
 #include "support.hpp"
 
@@ -161,6 +162,24 @@
   EXPECT_GT(alike, 95);
 }
 
+// Half warm, a replica does three quarters of its work; as one of a small group it is given half, as before.
+TEST(LargeGroup, TheShareOfANewcomerRisesFromZeroAsItsAbilityDoes) {
+  for (const auto& [group, from, to] : {std::tuple{100u, 160, 200}, std::tuple{4u, 110, 150}}) {
+    auto s = thin_settings();
+    s.group_size = group;
+    Fixture f(s);
+    f.list({{.id = 10}, {.id = 20, .started = f.now - s.cold / 2}});
+    int there = 0;
+    for (std::uint64_t session = 1; session <= 400; ++session) {
+      const auto id = Fixture::sent_replica(f.arrive({.prompt_tokens = 100, .session = session}));
+      f.serve(f.last.id, id);
+      there += id == 20;
+    }
+    EXPECT_GE(there, from) << group;
+    EXPECT_LE(there, to) << group;
+  }
+}
+
 TEST(LargeGroup, AFewRoutersTellNothingAndBelieveNothing) {
   auto s = thin_settings();
   s.group_size = 4;
