--- a/include/sprucecourse/rules.hpp
+++ b/include/sprucecourse/rules.hpp
@@ -135,6 +135,11 @@
 
 enum class Outcome { served, error, full, timed_out, connect_failed, reset, cancelled, not_sent };
 
+// Nothing of it was ever begun: a repeat is harmless, and it costs nothing.
+inline bool never_ran(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
+}
+
 struct AttemptResult {
   RequestId id = 0;
   std::uint8_t attempt = 0;
--- a/src/budgets/gate.cpp
+++ b/src/budgets/gate.cpp
@@ -14,11 +14,6 @@
   return static_cast<std::uint64_t>(std::ceil(std::clamp(tokens, 0.0, kMostTokens)));
 }
 
-// Nothing of it was ever begun: it costs nothing, and what was reserved for it can pay for the next one.
-bool never_ran(Outcome outcome) {
-  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
-}
-
 double in_tokens(Units units) { return static_cast<double>(units) / static_cast<double>(kUnitsPerToken); }
 
 }  // namespace
@@ -156,7 +151,7 @@
 }
 
 void Gate::settle(Time now, Open& open, const AttemptResult& result) {
-  if (never_ran(result.outcome)) return;
+  if (never_ran(result.outcome)) return;  // what was reserved for it can pay for the next one
   Charge charge;
   charge.exchange = result.id, charge.hop = result.attempt, charge.replica = result.replica, charge.who = open.who;
   charge.told = result.tally && result.outcome == Outcome::served;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -61,10 +61,6 @@
   }
 };
 
-inline bool never_ran(Outcome outcome) {
-  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
-}
-
 inline bool is_failure(Outcome outcome) {
   return outcome == Outcome::error || outcome == Outcome::timed_out || outcome == Outcome::connect_failed ||
          outcome == Outcome::reset;
