--- a/src/budgets/gate.cpp
+++ b/src/budgets/gate.cpp
@@ -33,7 +33,7 @@
 }
 
 Gate::Gate(std::unique_ptr<core::Decider> inner, Treasury& treasury, FairShare* fair)
-    : inner_(std::move(inner)), treasury_(treasury), fair_(fair) {}
+    : core::Outer(std::move(inner)), treasury_(treasury), fair_(fair) {}
 
 // ---------------------------------------------------------------- a request
 
@@ -210,12 +210,5 @@
   now_ = now;
   inner_->on_timer(now, token);
 }
-void Gate::on_probe_result(Time now, ReplicaId replica, bool alive, std::span<const float> report) {
-  inner_->on_probe_result(now, replica, alive, report);
-}
-void Gate::on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message) {
-  inner_->on_peer_message(now, peer, message);
-}
-void Gate::on_shared_send(ReplicaId replica) { inner_->on_shared_send(replica); }
 
 }  // namespace sprucecourse::budgets
--- a/src/budgets/gate.hpp
+++ b/src/budgets/gate.hpp
@@ -48,7 +48,7 @@
 Units most_of(const Request& request, const Price& price);
 Units cost_of(std::uint64_t prompt, std::uint64_t kept, std::uint64_t made, const Price& price);
 
-class Gate final : public core::Decider {
+class Gate final : public core::Outer {
  public:
   // The treasury outlives it. `fair`: whose turn it is when there is not enough for all; may be null, not owned.
   Gate(std::unique_ptr<core::Decider> inner, Treasury& treasury, FairShare* fair = nullptr);
@@ -59,9 +59,6 @@
   void on_attempt_result(Time now, const AttemptResult& result) override;
   void on_client_gone(Time now, RequestId id) override;
   void on_timer(Time now, std::uint32_t token) override;
-  void on_probe_result(Time now, ReplicaId replica, bool alive, std::span<const float> report) override;
-  void on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message) override;
-  void on_shared_send(ReplicaId replica) override;
   std::vector<Action> take_actions() override;
 
   std::size_t open() const { return open_.size(); }
@@ -84,7 +81,6 @@
   void close(Time now, RequestId id);
   std::shared_ptr<const Allowance> allowance_of(const Who& who);
 
-  std::unique_ptr<core::Decider> inner_;
   Treasury& treasury_;
   FairShare* fair_;
   absl::flat_hash_map<RequestId, Open> open_;
--- a/src/core/decider.hpp
+++ b/src/core/decider.hpp
@@ -27,6 +27,34 @@
   virtual std::vector<Action> take_actions() = 0;
 };
 
+// One that stands in front of another and hands everything on; what it has to do itself it overrides.
+class Outer : public Decider {
+ public:
+  explicit Outer(std::unique_ptr<Decider> inner) : inner_(std::move(inner)) {}
+
+  void on_directory(Time now, DirectoryScope scope, std::span<const ReplicaListing> entries) override {
+    inner_->on_directory(now, scope, entries);
+  }
+  void on_request(Time now, const Request& request) override { inner_->on_request(now, request); }
+  void on_first_token(Time now, RequestId id, std::uint8_t attempt, ReplicaId replica, Time elapsed) override {
+    inner_->on_first_token(now, id, attempt, replica, elapsed);
+  }
+  void on_attempt_result(Time now, const AttemptResult& result) override { inner_->on_attempt_result(now, result); }
+  void on_client_gone(Time now, RequestId id) override { inner_->on_client_gone(now, id); }
+  void on_timer(Time now, std::uint32_t token) override { inner_->on_timer(now, token); }
+  void on_probe_result(Time now, ReplicaId replica, bool alive, std::span<const float> report) override {
+    inner_->on_probe_result(now, replica, alive, report);
+  }
+  void on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message) override {
+    inner_->on_peer_message(now, peer, message);
+  }
+  void on_shared_send(ReplicaId replica) override { inner_->on_shared_send(replica); }
+  std::vector<Action> take_actions() override { return inner_->take_actions(); }
+
+ protected:
+  std::unique_ptr<Decider> inner_;
+};
+
 // The decision module. Throws std::invalid_argument where settings make no sense.
 std::unique_ptr<Decider> make_module(const Settings& settings, Time now);
 
--- a/src/emulator/routers.cpp
+++ b/src/emulator/routers.cpp
@@ -13,9 +13,9 @@
 constexpr Time kDirectoryAnswers = 2'000;  // microseconds that discovery takes for an answer
 
 // Says what a policy's decisions cost: the time spent inside of it, on this machine.
-class Timed final : public core::Decider {
+class Timed final : public core::Outer {
  public:
-  Timed(std::unique_ptr<core::Decider> inner, double& ns) : inner_(std::move(inner)), ns_(ns) {}
+  Timed(std::unique_ptr<core::Decider> inner, double& ns) : Outer(std::move(inner)), ns_(ns) {}
 
   void on_directory(Time now, DirectoryScope scope, std::span<const ReplicaListing> entries) override {
     timed([&] { inner_->on_directory(now, scope, entries); });
@@ -41,7 +41,6 @@
   void on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message) override {
     timed([&] { inner_->on_peer_message(now, peer, message); });
   }
-  std::vector<Action> take_actions() override { return inner_->take_actions(); }
 
  private:
   template <typename Call>
@@ -51,7 +50,6 @@
     ns_ += std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - start).count();
   }
 
-  std::unique_ptr<core::Decider> inner_;
   double& ns_;
 };
 
