Open the operators' door with true figures, and empty the router by LEAVE

Cause: no listener for `ops`; Clients::wind_down was one flag for SIGTERM (clients.cpp, answer, event, health), with no way back, and readiness knew only the list. A hop whose connection broke under the write counted as sent (Servers::Line::drained after broke()): fixed.

--- a/include/sprucecourse/rules.hpp
+++ b/include/sprucecourse/rules.hpp
@@ -212,6 +212,9 @@
   void on_probe_result(Time now, ReplicaId replica, bool alive, std::span<const float> report);
   void on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message);
 
+  // The listed, ready replicas that get nothing now because they failed.
+  std::vector<ReplicaId> left_out(Time now) const;
+
   // The actions decided since the last call, in the order they are to be carried out.
   std::vector<Action> take_actions();
 
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -121,6 +121,7 @@
   if (!json.is_object()) throw BadConfig(path + ": not an object");
   config.name = from_environment("GW_NAME", fronts::text_at(json, "/name"));
   config.listen = from_environment("GW_LISTEN", fronts::text_at(json, "/listen"));
+  config.ops = from_environment("GW_OPS", fronts::text_at(json, "/ops"));
   const std::string told = fronts::text_at(json, "/discovery");
   config.discovery =
       reading == Reading::again && !told.empty() ? told : from_environment("GW_DISCOVERY", told);
@@ -146,6 +147,7 @@
   };
   compare("name", old.name == fresh.name);
   compare("listen", old.listen == fresh.listen);
+  compare("ops", old.ops == fresh.ops);
   compare("peers", old.peer_listen == fresh.peer_listen && old.peers_all == fresh.peers_all &&
                        old.peers == fresh.peers);
   compare("limits", old.sockets == fresh.sockets);
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -17,6 +17,7 @@
 
 struct Config {
   std::string name, listen, discovery, peer_listen, peers_all;
+  std::string ops;  // where operators call; empty: nowhere
   std::vector<std::string> peers;
   std::size_t sockets = 1024, memory_mb = 192;
   std::size_t most_clients = 0;  // connections of clients at a front; 0: a part of the descriptors
--- a/src/core/decider.hpp
+++ b/src/core/decider.hpp
@@ -23,6 +23,8 @@
   virtual void on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> message) = 0;
   // A box has been sent a request by another pool's module (sprucecourse/rules.hpp).
   virtual void on_shared_send(ReplicaId) {}
+  // The ready boxes that get nothing now because they failed.
+  virtual std::vector<ReplicaId> left_out(Time) const { return {}; }
   // Decided since the last call, in the order in which it is to be carried out.
   virtual std::vector<Action> take_actions() = 0;
 };
@@ -49,6 +51,7 @@
     inner_->on_peer_message(now, peer, message);
   }
   void on_shared_send(ReplicaId replica) override { inner_->on_shared_send(replica); }
+  std::vector<ReplicaId> left_out(Time now) const override { return inner_->left_out(now); }
   std::vector<Action> take_actions() override { return inner_->take_actions(); }
 
  protected:
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -104,6 +104,7 @@
   const Counters& counters() const { return counters_; }
   std::size_t open() const { return exchanges_.size(); }
   std::size_t alarms() const { return alarms_.size(); }
+  std::vector<ReplicaId> left_out() const { return decider_->left_out(around_.clock.now()); }
 
  private:
   enum class Due { module_timer, hop, backstop };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -72,7 +72,8 @@
 void serve(const CommandLine& line) {
   const Config config = read_config(line.config, line.operator_file);
   const std::size_t limit = descriptor_limit(config.sockets);
-  net::descriptors().limit = limit - std::min(kOwnDescriptors, limit / 4);
+  const std::size_t own = kOwnDescriptors + (config.ops.empty() ? 0 : net::Door::kMostCallers + 1);
+  net::descriptors().limit = limit - std::min(own, limit / 4);
   Node node(config);
   const std::unique_ptr<GMainLoop, void (*)(GMainLoop*)> loop(g_main_loop_new(nullptr, FALSE),
                                                               g_main_loop_unref);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -19,8 +19,7 @@
 constexpr Time kFreshGrace = 500'000;          // what a new connection has to say comes sooner than this
 constexpr Time kWriteLimit = 10'000'000;       // for a client to take what was written
 constexpr Time kCloseLimit = 1'000'000;        // for the last bytes before a connection is closed
-constexpr Time kNewComers = 500'000;           // after SIGTERM new connections still come this long
-constexpr Time kSweepEvery = 100'000;          // idle connections are closed from then on
+constexpr Time kSweepEvery = 100'000;          // while no connection is kept: looks for those without a request
 constexpr std::size_t kMostAhead = 64 * 1024;  // bytes read while an answer is still going out
 constexpr std::size_t kMostDiscarded = 1024 * 1024;  // bytes read for nothing, so that an answer survives
 
@@ -84,11 +83,11 @@
       std::vector<Header> headers = {{"Content-Type", "text/event-stream"},
                                      {"Cache-Control", "no-cache"},
                                      {"Transfer-Encoding", "chunked"},
-                                     {"Connection", keep_ && !owner_.winding_down_ ? "keep-alive" : "close"}};
+                                     {"Connection", keep_ && owner_.life().keeps() ? "keep-alive" : "close"}};
       for (auto& header : std::exchange(extra_, {})) headers.push_back(std::move(header));
       out = write_head(status_line(200), headers);
     }
-    if (owner_.winding_down_) keep_ = false;
+    if (!owner_.life().keeps()) keep_ = false;
     stream_.write(out += write_chunk(bytes));
     // Guards the memory against clients that read slowly: their egress target has to wait.
     if (stream_.unsent() > owner_.options_.congested && !std::exchange(congested_, true)) {
@@ -222,7 +221,7 @@
     call->body = std::make_shared<const std::string>(std::exchange(body_, {}));
     core::Arrival arrival{fronts::read_request(*call, owner_.names_, begun_), call};
     const std::string& id = *head.find("X-Request-ID");
-    if (owner_.busy_ >= owner_.options_.most_connections) {
+    if (owner_.busy_ >= owner_.options_.most_connections || !owner_.life().takes(now_us())) {
       crowded();
       return;
     }
@@ -241,6 +240,7 @@
   // There is no room for this request: nothing of it is kept, and its connection goes too.
   bool crowded() {
     ++owner_.counters_.crowded;
+    if (const auto* cls = reader_.head().find("X-Priority-Class")) owner_.options_.turned_away(*cls);
     keep_ = false;
     shed(owner_.options_.crowded_absence);
     return false;
@@ -272,7 +272,7 @@
 
   void health() {
     ++owner_.counters_.health;
-    const bool ready = owner_.options_.ready() && !owner_.winding_down_;
+    const bool ready = owner_.life().ready(now_us());
     answer({ready ? 200 : 503, ready ? "{\"ready\":true}" : "{\"ready\":false}"}, 0);
     answered();
   }
@@ -293,7 +293,7 @@
   }
 
   void answer(const fronts::ErrorAnswer& text, Time come_back) {
-    if (owner_.winding_down_) keep_ = false;
+    if (!owner_.life().keeps()) keep_ = false;
     std::vector<Header> headers = {{"Content-Type", "application/json"},
                                    {"Content-Length", std::to_string(text.body.size())},
                                    {"Connection", keep_ ? "keep-alive" : "close"}};
@@ -358,7 +358,8 @@
 Clients::Clients(Options options, const fronts::Names& names, core::Exchanges& core, Commons& commons)
     : options_(std::move(options)), names_(names), core_(core), commons_(commons) {
   listener_ = std::make_unique<Listener>(
-      options_.address, [this] { return room(); }, [this](Owned<GSocket> s) { accepted(std::move(s)); });
+      options_.address, [this] { return room(); }, [this](Owned<GSocket> s) { accepted(std::move(s)); },
+      options_.shared);
 }
 
 Clients::~Clients() = default;
@@ -412,18 +413,26 @@
   if (found == lines_.end()) return;
   bury(std::move(found->second));
   lines_.erase(found);
-  listener_->resume();
+  if (life().accepts()) listener_->resume();
 }
 
-void Clients::wind_down() {
-  winding_down_ = true;
-  winding_.start(kNewComers, [this] { sweep(); });
+void Clients::phase_changed() {
+  life().accepts() ? listener_->resume() : listener_->stop();
+  sweep();
 }
 
+// Closes what has no request while the phase wants it, and looks again as long as no connection is kept.
 void Clients::sweep() {
-  while (evict(idle_, 0)) {
+  const Time now = now_us();
+  if (life().closes_idle(now)) {
+    while (evict(idle_, 0)) {
+    }
+  }
+  if (life().closes_fresh(now)) {
+    while (evict(fresh_, 0)) {
+    }
   }
-  winding_.start(kSweepEvery, [this] { sweep(); });
+  if (!life().keeps()) sweeping_.start(kSweepEvery, [this] { sweep(); });
 }
 
 }  // namespace sprucecourse::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -8,6 +8,7 @@
 
 #include "core/exchanges.hpp"
 #include "fronts/dialect.hpp"
+#include "life/lifecycle.hpp"
 #include "net/loop.hpp"
 
 namespace sprucecourse::net {
@@ -32,15 +33,18 @@
     std::size_t most_body_bytes = 48 * 1024 * 1024;
     std::size_t congested = 256 * 1024;  // bytes on the way to one client, above which its target has to wait
     Time crowded_absence = 0;            // advised when there is no room for a request
-    std::function<bool()> ready;
+    bool shared = false;                    // a successor may listen at the same address
+    const life::Lifecycle* life = nullptr;  // not owned
+    // A request was refused for want of room before the core had it: its class, as the client names it.
+    std::function<void(std::string_view)> turned_away = [](std::string_view) {};
     std::function<std::string(std::uint16_t)> model_name = {};  // by its number in the catalogue, if there is one
   };
 
   Clients(Options options, const fronts::Names& names, core::Exchanges& core, Commons& commons);
   ~Clients();
 
-  // A restart is planned: answers close their connections from now on, and idle ones are closed soon.
-  void wind_down();
+  // The phase of the router's life is another one.
+  void phase_changed();
   std::string address() const { return listener_->address(); }
   std::size_t connections() const { return lines_.size(); }
   const ClientCounters& counters() const { return counters_; }
@@ -49,6 +53,7 @@
   class Line;
   using Waiting = std::list<Line*>;  // the one that has waited longest comes first
 
+  const life::Lifecycle& life() const { return *options_.life; }
   bool room() const;
   void make_room();
   bool evict(Waiting& from, Time older_than);
@@ -66,8 +71,7 @@
   Waiting fresh_;         // connections that have not had a whole request yet
   Waiting idle_;          // between two requests
   std::size_t busy_ = 0;  // with a request in work
-  bool winding_down_ = false;
-  Timer winding_, tending_;
+  Timer sweeping_, tending_;
   std::unique_ptr<Listener> listener_;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -372,7 +372,7 @@
 
 // ---------------------------------------------------------------- listeners
 
-Listener::Listener(const std::string& address, std::function<bool()> room, Accepted accepted)
+Listener::Listener(const std::string& address, std::function<bool()> room, Accepted accepted, bool shared)
     : room_(std::move(room)), accepted_(std::move(accepted)) {
   const auto parsed = parse_address(address);
   if (!parsed) throw NetError("not an address to listen on: " + address);
@@ -382,6 +382,7 @@
   if (socket_) {
     g_socket_set_blocking(socket_.get(), FALSE);
     g_socket_set_listen_backlog(socket_.get(), kBacklog);
+    if (shared) g_socket_set_option(socket_.get(), SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
     if (g_socket_bind(socket_.get(), parsed.get(), TRUE, &error)) g_socket_listen(socket_.get(), &error);
   }
   if (error != nullptr) {
@@ -406,6 +407,11 @@
   watch_.start(socket_.get(), G_IO_IN, [this] { accept(); });
 }
 
+void Listener::stop() {
+  watch_.stop();
+  retry_.stop();
+}
+
 void Listener::pause() {
   watch_.stop();
   retry_.start(kAcceptPause, [this] { resume(); });
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -113,6 +113,7 @@
   void finish_sending();  // half-close: the other side reads the end, and may still send
   void close();
   bool open() const { return socket_ != nullptr; }
+  bool broken() const { return ended_; }
   bool readable_now() const;
 
  private:
@@ -134,10 +135,12 @@
 class Listener {
  public:
   using Accepted = std::function<void(Owned<GSocket>)>;
-  // `room` says whether another connection can be taken now. Throws NetError if it cannot listen.
-  Listener(const std::string& address, std::function<bool()> room, Accepted accepted);
+  // `room` says whether another connection can be taken now. `shared`: another process of this user may listen at
+  // the same address. Throws NetError if it cannot listen.
+  Listener(const std::string& address, std::function<bool()> room, Accepted accepted, bool shared = false);
   ~Listener();
   void resume();  // a connection has gone: try again
+  void stop();    // until resume(); what comes meanwhile waits in the kernel
   std::string address() const;
 
  private:
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -41,6 +41,11 @@
   return route != nullptr && route->listing.state == Listed::ready;
 }
 
+std::size_t RouteTable::listed() const {
+  return static_cast<std::size_t>(std::count_if(
+      routes_.begin(), routes_.end(), [](auto& entry) { return entry.second.listing.state != Listed::gone; }));
+}
+
 // ---------------------------------------------------------------- asking
 
 void RouteTable::watch() {
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -53,6 +53,7 @@
   // Does the newest list allow new work for this target?
   bool may_send(ReplicaId target) const;
   std::size_t size() const { return routes_.size(); }
+  std::size_t listed() const;  // without those that are gone
   const DirectoryCounters& counters() const { return counters_; }
 
  private:
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -143,7 +143,7 @@
       stream_.write(std::move(bytes.head));
       written_ = true;
       stream_.write(std::move(bytes.body));
-      if (stream_.unsent() == 0) sent_ = true;
+      drained();
     } catch (const BadMessage& bad) {
       of_this_hop(logging::info("servers")) << "a body cannot be said in the target's dialect: "
                                   << logging::field("reason", bad.what());
@@ -152,7 +152,10 @@
     payload_.reset();
   }
 
-  void drained() { sent_ = written_; }
+  void drained() {
+    if (!written_ || stream_.broken() || stream_.unsent() > 0) return;
+    if (!std::exchange(sent_, true)) owner_.options_.sent();
+  }
 
   void arrived(std::string_view bytes) {
     if (job_ == Job::none) return close();  // nothing was asked
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -33,6 +33,7 @@
     const fronts::Dialect* dialect = nullptr;               // of targets that are not named below
     std::map<std::string, const fronts::Dialect*> by_name;  // uid -> dialect
     std::function<std::string(std::uint16_t)> model_name = {};  // by its number in the catalogue; empty: as asked
+    std::function<void()> sent = [] {};                         // the last byte of a hop was written
   };
 
   Servers(Options options, const RouteTable& routes);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -21,7 +21,6 @@
 constexpr Time kCrowdedAbsence = 1'000'000;  // advised when there is no room for a request
 constexpr std::size_t kMostBoxLines = 64;
 constexpr double kBoundsConfidence = 0.95;  // of a box's hit rate
-constexpr Time kReadyAnyway = 5'000'000;     // ready without a list after this, so that clients get answers
 constexpr Time kQuiet = 3'000'000;           // winding down: without clients for this long, the router ends
 
 }  // namespace
@@ -106,8 +105,10 @@
   budget_options(config);
   dialect_named(config.added.target_dialect);
   for (const auto& [uid, name] : config.added.targets) dialect_named(name);
-  for (const auto& [what, address] : {std::pair{"listen", config.listen}, {"discovery", config.discovery}}) {
-    if (!net::parse_address(address)) {
+  for (const auto& [what, address] :
+       {std::pair{"listen", config.listen}, {"discovery", config.discovery}, {"ops", config.ops}}) {
+    const bool none = address.empty() && std::string_view(what) == "ops";
+    if (!none && !net::parse_address(address)) {
       throw BadConfig(std::string("configuration: ") + what + " is not an address: " + address);
     }
   }
@@ -116,10 +117,12 @@
 
 Node::Node(const Config& config)
     : config_(config),
+      figures_(config.classes),
       names_{config.classes, config.tenants, {}},
       routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds},
               [this](DirectoryScope scope, std::span<const ReplicaListing> entries) {
                 servers_.routes_changed();
+                if (routes_.size() > 0) life_.listed();
                 core_->listed(scope, entries);
               }),
       peers_({.listen = config.peer_listen, .all = config.peers_all, .peers = config.peers},
@@ -153,9 +156,12 @@
   }
   open_front(config.listen, fronts::platform());
   if (!config.added.messages_listen.empty()) open_front(config.added.messages_listen, fronts::messages());
+  if (config.ops.empty()) return;
+  door_ = std::make_unique<net::Door>(config.ops, [this](std::string_view line) { return answer_call(line); });
+  logging::info("main") << "operators call at " << door_->address();
 }
 
-net::Servers::Options Node::server_options() const {
+net::Servers::Options Node::server_options() {
   net::Servers::Options options;
   options.keepalive = config_.keepalive;
   options.dial_limit = config_.dial_limit;
@@ -165,6 +171,7 @@
       static_cast<std::size_t>(kEgressPart * static_cast<double>(net::descriptors().limit));
   options.most_frame = std::clamp(config_.memory_mb * 1024 * 1024 / kAnswerPart / options.most_connections,
                                   kLeastOnTheWay, kMostOnTheWay);
+  options.sent = [this] { figures_.sent(); };
   options.dialect = &dialect_named(config_.added.target_dialect);
   for (const auto& [uid, name] : config_.added.targets) options.by_name[uid] = &dialect_named(name);
   if (!config_.added.catalogue.empty()) {
@@ -177,7 +184,7 @@
   return options;
 }
 
-net::Clients::Options Node::client_options() const {
+net::Clients::Options Node::client_options() {
   net::Clients::Options options;
   const auto limit = static_cast<double>(net::descriptors().limit);
   const auto part = [&](double share) {
@@ -191,7 +198,9 @@
       std::clamp(memory / kAnswerPart / options.most_connections, kLeastOnTheWay, kMostOnTheWay);
   options.crowded_absence =
       config_.settings.retry_after ? std::min(kCrowdedAbsence, config_.settings.max_retry_after) : 0;
-  options.ready = [this] { return ready(); };
+  options.life = &life_;
+  options.shared = !config_.ops.empty();
+  options.turned_away = [this](std::string_view cls) { figures_.ended(cls, figures::State::deferred); };
   if (!config_.added.catalogue.empty()) options.model_name = [this](std::uint16_t number) { return model_name(number); };
   return options;
 }
@@ -204,7 +213,18 @@
   logging::info("main") << speaks.name() << " front on " << fronts_.back()->address();
 }
 
+// How operators count an ending; nothing where nobody was left to answer.
+std::optional<figures::State> state_of(core::Ending ending) {
+  switch (ending) {
+    case core::Ending::served: return figures::State::answered;
+    case core::Ending::shed: return figures::State::deferred;
+    case core::Ending::client_gone: return std::nullopt;
+    default: return figures::State::errored;
+  }
+}
+
 void Node::record(const core::Tally& tally) {
+  if (const auto state = state_of(tally.ending)) figures_.ended(tally.request.cls, *state);
   const bool told = logging::threshold() <= logging::Level::debug;
   if (!flows_ && !told) return;
   const net::Route* route = tally.hops == 0 ? nullptr : routes_.find(tally.last_target);
@@ -376,7 +396,27 @@
   logging::info("affinity") << "kept copies are found again at " << logging::field("target", uid_of(box));
 }
 
-bool Node::ready() const { return routes_.size() > 0 || net::now_us() - started_ > kReadyAnyway; }
+// ---------------------------------------------------------------- operators
+
+std::string Node::figures() const {
+  return figures_.text({.current = core_->open(), .cluster_size = routes_.listed(), .cluster_unhealthy = core_->left_out().size()});
+}
+
+std::string Node::answer_call(std::string_view line) {
+  const Time now = net::now_us();
+  const std::string phase = life::name_of(life_.phase());
+  if (line == "HEALTH") return (life_.able(now) ? "+OK " : "-ERR ") + phase + "\n";
+  if (line == "DUMP") return "+OK\n" + figures() + ".\n";
+  if (line != "LEAVE" && line != "JOIN") return {};
+  const bool done = line == "LEAVE" ? life_.leave(now) : life_.join();
+  if (done) phase_changed(line == "LEAVE" ? "LEAVE was called" : "JOIN was called");
+  return (done ? "+OK " : "-ERR ") + std::string(life::name_of(life_.phase())) + "\n";
+}
+
+void Node::phase_changed(const char* why) {
+  logging::info("main") << life::name_of(life_.phase()) << ": " << why << ", " << core_->open() << " exchanges open";
+  for (auto& front : fronts_) front->phase_changed();
+}
 
 void Node::reload(const Config& config) {
   check_config(config);
@@ -409,8 +449,9 @@
 
 void Node::wind_down(std::function<void()> done) {
   done_ = std::move(done);
-  for (auto& front : fronts_) front->wind_down();
   quiet_since_ = net::now_us();
+  life_.terminate(quiet_since_);
+  phase_changed("the process is to end");
   watch_quiet();
 }
 
@@ -449,6 +490,8 @@
   line << " list_calls=" << d.calls << " list_failures=" << d.failures << " list_entries=" << d.changes
        << " list_bad=" << d.bad;
   print_models(line);
+  line << " phase=" << life::name_of(life_.phase()) << " sends=" << figures_.sends();
+  if (door_) line << " calls=" << door_->counters().calls << " bad_calls=" << door_->counters().bad << " silent_calls=" << door_->counters().silent;
   line << " reloads=" << reloads_;
   if (flows_) line << " flow_records=" << flows_->sent();
 }
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -8,10 +8,13 @@
 #include "affinity/beliefs.hpp"
 #include "config.hpp"
 #include "core/exchanges.hpp"
+#include "figures/figures.hpp"
 #include "keeping/budgets.hpp"
 #include "keeping/keeper.hpp"
+#include "life/lifecycle.hpp"
 #include "models/pools.hpp"
 #include "net/clients.hpp"
+#include "net/door.hpp"
 #include "net/flows.hpp"
 #include "net/loop.hpp"
 #include "net/peers.hpp"
@@ -66,8 +69,15 @@
   // is called with each.
   void tell_boxes(const std::function<void(const std::string&)>& line) const;
 
+  // What the operators' door answers to a line; empty if there is no such call.
+  std::string answer_call(std::string_view line);
+  // The figures, as the door's DUMP has them.
+  std::string figures() const;
+
   const core::Exchanges& core() const { return *core_; }
   const net::Clients& front(std::size_t index) const { return *fronts_.at(index); }
+  const net::Door* door() const { return door_.get(); }
+  const life::Lifecycle& life() const { return life_; }
   std::size_t targets() const { return routes_.size(); }
   const keeping::Keeper* keeper() const { return keeper_.get(); }
   const affinity::Beliefs* beliefs() const { return beliefs_.get(); }
@@ -75,11 +85,11 @@
   const models::Pools* pools() const { return pools_; }
 
  private:
-  net::Servers::Options server_options() const;
-  net::Clients::Options client_options() const;
+  net::Servers::Options server_options();
+  net::Clients::Options client_options();
   void open_front(const std::string& address, const fronts::Dialect& speaks);
   void record(const core::Tally& tally);
-  bool ready() const;
+  void phase_changed(const char* why);
   void watch_quiet();
   std::string uid_of(ReplicaId target) const;
   void open_store();
@@ -96,6 +106,8 @@
   void box_regained(Time now, ReplicaId box) override;
 
   Config config_;
+  life::Lifecycle life_{net::now_us()};
+  figures::Figures figures_;
   fronts::Names names_;
   LoopClock clock_;
   net::RouteTable routes_;
@@ -111,12 +123,13 @@
   std::unique_ptr<core::Exchanges> core_;
   net::Commons commons_;
   std::vector<std::unique_ptr<net::Clients>> fronts_;
+  std::unique_ptr<net::Door> door_;  // none unless the configuration names an address
   std::function<void()> done_;
   net::Timer quiet_, store_tick_;
   bool store_failing_ = false;
   std::uint64_t store_troubles_ = 0;  // openings that failed, damaged files set aside, and writes that began to fail
   std::uint64_t reloads_ = 0;
-  Time started_ = net::now_us(), quiet_since_ = 0;
+  Time quiet_since_ = 0;
 };
 
 }  // namespace sprucecourse
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -17,6 +17,7 @@
   int in_flight = 0;  // attempts of this router that are still out
   int failures = 0;   // points of those in a row
   Time ejected_until = 0;
+  bool left_out = false;  // the latest cut gave it no share
   double pace = 1;      // learned; falls while its answers are slow
   Time last_alive = 0;  // when it last answered anything
   Fading told;          // points of failures that other routers told of
@@ -91,6 +92,15 @@
     for (auto& [prefix, work] : prefix_work_) prefix_total_ += work /= 2;
   }
 
+  // The listed replicas that are left out for what was seen of them.
+  std::vector<ReplicaId> left_out(Time now) const {
+    std::vector<ReplicaId> ids;
+    for (const auto& [id, r] : replicas_) {
+      if (r.listing.state == Listed::ready && r.left_out && now < r.ejected_until) ids.push_back(id);
+    }
+    return ids;
+  }
+
   std::vector<Action> actions_;
   Settings settings_;
   std::uint64_t random_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,5 @@
 // Every decision of sprucecourse. The interface, its types, events and actions: sprucecourse/rules.hpp.
-//
+
 // SITA-E: sizes (prompt length + answer limit) are cut into intervals of equal expected work, one for
 // each ready replica in sorted-id order. Read from the top: tunables, then the life of a request (arrival,
 // overload, cut, choice, sending, outcomes, end), health and the directory. The records: records.hpp.
@@ -260,7 +260,7 @@
       part *= thin() ? warmth(now, *r) * (2 - warmth(now, *r)) : warmth(now, *r);
       able += part * (warmth(now, *r) < 1 ? kColdHeadroom : headroom());
       if (part > 0) cut.edges.push_back(share += part);
-      return part <= 0;
+      return r->left_out = part <= 0;
     });
     for (auto& edge : cut.edges) edge /= share;
     if (capacity > 0) cut.fill = std::min(1.0, able / capacity);
@@ -704,6 +704,7 @@
   if (!state_->thin() || peer == state_->settings_.rank) return;
   for (const Note& note : state_->notes_.read(now, peer, message)) state_->told(now, note);
 }
+std::vector<ReplicaId> Router::left_out(Time now) const { return state_->left_out(now); }
 std::vector<Action> Router::take_actions() { return std::exchange(state_->actions_, {}); }
 
 }  // namespace sprucecourse
--- /dev/null
+++ b/tests/life/lifecycle.cpp
@@ -0,0 +1,71 @@
+// The phases of the router's life: any order of what may happen, and the promises of a drain.
+#include "life/lifecycle.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace sprucecourse;
+using life::Lifecycle;
+using life::Phase;
+
+TEST_CASE("readiness, connections and requests follow the phase") {
+  Lifecycle life(0);
+  CHECK_FALSE(life.ready(0));
+  CHECK_FALSE(life.able(0));
+  CHECK(life.ready(5'000'001));  // without a list, so that clients get answers
+  life.listed();
+  CHECK(life.phase() == Phase::serving);
+  CHECK((life.ready(1) && life.able(1) && life.accepts() && life.keeps() && life.takes(1)));
+  CHECK_FALSE(life.closes_idle(1));
+
+  REQUIRE(life.leave(1'000'000));
+  CHECK_FALSE(life.ready(1'000'000));
+  CHECK(life.able(1'000'000));
+  CHECK_FALSE(life.keeps());
+  CHECK((life.accepts() && life.takes(1'200'000) && !life.closes_idle(1'200'000)));
+  REQUIRE(life.leave(2'000'000));  // again: nothing begins anew
+  CHECK((life.closes_idle(2'000'000) && life.closes_fresh(2'000'000)));
+  CHECK_FALSE(life.takes(2'500'000));
+  REQUIRE(life.join());
+  CHECK((life.ready(2'500'000) && life.takes(2'500'000) && life.keeps() && !life.closes_idle(9'000'000)));
+}
+
+TEST_CASE("a successor's death gives back the phase before it") {
+  Lifecycle life(0);
+  life.listed();
+  life.hand_over(1'000'000);
+  CHECK((life.ready(2'000'000) && !life.able(2'000'000) && !life.accepts() && !life.keeps()));
+  CHECK_FALSE(life.leave(2'000'000));
+  life.take_back();
+  CHECK((life.phase() == Phase::serving && life.accepts() && life.keeps()));
+  REQUIRE(life.leave(3'000'000));
+  life.hand_over(3'000'000);
+  CHECK_FALSE(life.ready(3'000'000));  // a drain holds for whoever serves
+  life.take_back();
+  CHECK(life.phase() == Phase::drained);
+}
+
+TEST_CASE("whatever came before, 4 s after LEAVE nothing that came in the last 2 s can be held, and SIGTERM is final") {
+  REQUIRE(rc::check("any order of calls", [] {
+    Lifecycle life(0);
+    life.listed();
+    Time now = 0;
+    bool ending = false;
+    Time left = -1;
+    for (const int what : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5))) {
+      now += *rc::gen::inRange(0, 3'000'000);
+      const bool handed = life.phase() == Phase::handed_over;
+      if (what == 0 && life.leave(now) && left < 0) left = now;
+      if (what == 1 && life.join()) left = -1;
+      if (what == 2) life.terminate(now), ending = true;
+      if (what == 3) life.hand_over(now);
+      if (what == 4) life.take_back();
+      RC_ASSERT(life.drained() == (left >= 0));
+      if (left >= 0) RC_ASSERT(!life.ready(now));
+      if (left >= 0 && !handed && !ending && life.phase() == Phase::drained) RC_ASSERT(!life.takes(left + 2'000'000));
+      if (left >= 0) RC_ASSERT(life.closes_idle(left + 2'000'000) && life.closes_fresh(left + 2'000'000));
+      if (ending) RC_ASSERT(!life.keeps() && !life.able(now) && !life.leave(now) && !life.join());
+      if (!ending && left < 0 && life.phase() == Phase::serving) RC_ASSERT(life.ready(now) && life.keeps());
+    }
+  }));
+}
--- /dev/null
+++ b/tests/net/door.cpp
@@ -0,0 +1,150 @@
+// Scenarios of the operators' door: its calls, its figures, callers that misbehave, and a drain.
+#include <catch2/catch.hpp>
+
+#include "play.hpp"
+
+using sprucecourse::testing::Play;
+using sprucecourse::testing::Setup;
+
+namespace {
+const Setup kDoor = {.ops = "127.0.0.1:0"};
+}
+
+TEST_CASE("the door answers its calls, a line in pieces and one with CRLF too, and says what it does not know") {
+  Play play(kDoor);
+  play.run(R"(
+    call1 send HEALTH\n
+    call1 expect +OK serving\n
+    call1 expect close
+    call2 send HEA
+    call3 send LEAVE now\n
+    call3 expect -ERR the calls are HEALTH, DUMP, LEAVE and JOIN\n
+    call3 expect close
+    call2 send LTH\r\n
+    call2 expect +OK serving\n
+    call2 expect close
+    call4 send JOIN\nLEAVE\n
+    call4 expect -ERR one line to a connection\n
+    call5 send $fill(300)
+    call5 expect -ERR the line is too long\n
+    call6 send \n
+    call6 expect -ERR
+    call7 send JOIN\n
+    call7 expect +OK serving\n
+    call8 send DUMP\n
+    call8 expect +OK\n
+    call8 expect svc_transactions_total{group="chat",state="answered"} 0\n
+    call8 expect svc_cluster_size 1\n
+    call8 expect \n.\n
+    call8 expect close
+    router expect bad_calls=4
+  )");
+}
+
+TEST_CASE("a crowd of callers that say nothing never takes the turn of one that does") {
+  Play play(kDoor);
+  for (int i = 100; i < 130; ++i) play.send("call" + std::to_string(i), i % 2 == 0 ? "HEAL" : "");
+  play.run(R"(
+    call1 send HEALTH\n
+    call1 expect +OK serving\n
+    call1 expect close
+    call129 expect -ERR no whole line in time\n
+    call129 expect close
+  )");
+}
+
+TEST_CASE("the figures tell what clients and boxes saw") {
+  Play play({.boxes = 2, .ops = "127.0.0.1:0"});
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 expect r1
+    call1 send DUMP\n
+    call1 expect svc_sends_total 1\n
+    call1 expect svc_current 1\n
+    hop1 send $error
+    hop2 send $stream$delta(one)$done
+    client1 expect \r\n0\r\n\r\n
+    client1 send $ask(r2)
+    hop3 send $stream$delta(one)
+    client1 expect $delta(one)
+    hop3 close
+    client1 expect close
+    # Gone before its answer: not counted under any state.
+    client2 send $ask(r3)
+    hop4 expect r3
+    client2 close
+    router expect gone=1
+    # Cannot be read, or of no known class: no request of any class.
+    client3 send POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 0\r\nX-Priority-Class: nobody\r\nX-Request-ID: r4\r\n\r\n
+    client3 expect HTTP/1.1 400
+    call2 send DUMP\n
+    call2 expect svc_transactions_total{group="chat",state="answered"} 1\n
+    call2 expect svc_transactions_total{group="chat",state="deferred"} 0\n
+    call2 expect svc_transactions_total{group="chat",state="errored"} 1\n
+    call2 expect svc_sends_total 4\n
+    call2 expect svc_current 0\n
+  )");
+}
+
+TEST_CASE("a drained router says no at once, finishes what it has, keeps no connection and comes back by JOIN") {
+  Play play(kDoor);
+  play.run(R"(
+    client1 send $ask(r1)
+    hop1 send $stream$delta(one)
+    client1 expect one
+    client2 send GET /health/ready HTTP/1.1\r\n\r\n
+    client2 expect HTTP/1.1 200 OK\r\n
+    call1 send LEAVE\n
+    call1 expect +OK drained\n
+    call2 send LEAVE\n
+    call2 expect +OK drained\n
+    client2 send GET /health/ready HTTP/1.1\r\n\r\n
+    client2 expect HTTP/1.1 503
+    client2 expect Connection: close\r\n
+    # New clients still come for a moment; their answers close.
+    client3 send $ask(r2)
+    hop2 send $stream$delta(two)$done
+    client3 expect Connection: close\r\n
+    client3 expect \r\n0\r\n\r\n
+    client3 expect close
+    # One that says nothing is closed, and what comes late is refused at once.
+    client4 send GET
+    client5 expect close
+    wait 1500
+    client6 send $ask(r3)
+    client6 expect HTTP/1.1 503
+    client6 expect refused: try again later"}}
+    client6 expect close
+    call3 send HEALTH\n
+    call3 expect +OK drained\n
+    # The long stream that was open goes on to its end, and its connection closes with it.
+    hop1 send $delta(more)$done
+    client1 expect more
+    client1 expect \r\n0\r\n\r\n
+    call4 send JOIN\n
+    call4 expect +OK serving\n
+    client7 send GET /health/ready HTTP/1.1\r\n\r\n
+    client7 expect HTTP/1.1 200 OK\r\n
+    client7 send $ask(r4)
+    hop3 send $stream$delta(three)$done
+    client7 expect Connection: keep-alive\r\n
+    client7 expect \r\n0\r\n\r\n
+    call5 send DUMP\n
+    call5 expect svc_transactions_total{group="chat",state="answered"} 3\n
+    call5 expect svc_transactions_total{group="chat",state="deferred"} 1\n
+  )");
+}
+
+TEST_CASE("SIGTERM ends a drained router too, and nothing calls it back") {
+  Play play(kDoor);
+  play.run(R"(
+    call1 send LEAVE\n
+    call1 expect +OK drained\n
+    router close
+    call2 send JOIN\n
+    call2 expect -ERR winding-down\n
+    call3 send HEALTH\n
+    call3 expect -ERR winding-down\n
+    router expect phase=winding-down
+  )");
+}
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -140,6 +140,7 @@
   listen(new_list_, "newlist");
   config.name = "test";
   config.listen = config.added.messages_listen = "127.0.0.1:0";
+  config.ops = setup.ops;
   config.discovery = list_->address();
   config.added.target_dialect = setup.box_dialect;
   config.added.flow_collector = setup.flow_collector;
@@ -221,11 +222,12 @@
 }
 
 Play::Line& Play::line(const std::string& actor) {
-  const bool client = actor.starts_with("client"), writer = actor.starts_with("writer");
-  if ((client || writer) && !actors_.contains(actor)) {
+  const bool client = actor.starts_with("client"), writer = actor.starts_with("writer"), call = actor.starts_with("call");
+  if ((client || writer || call) && !actors_.contains(actor)) {
     auto made = std::make_shared<Line>();
     made->stream = std::make_unique<net::Stream>(made->callbacks());
-    REQUIRE(made->stream->connect(net::parse_address(node_->front(writer ? 1 : 0).address()).get()));
+    const std::string to = call ? node_->door()->address() : node_->front(writer ? 1 : 0).address();
+    REQUIRE(made->stream->connect(net::parse_address(to).get()));
     actors_[actor] = made;
   }
   INFO("waiting for " << actor);
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -2,7 +2,7 @@
 //
 //   ACTOR send TEXT      ACTOR expect TEXT      ACTOR expect close      ACTOR close      wait MS
 //
-// Actors: clientN (the platform's front), writerN (the messages front), hopN (the N-th request that reached
+// Actors: clientN (the platform's front), writerN (the messages front), callN (the operators' door), hopN (the N-th request that reached
 // any stand-in box), list (discovery's stand-in: `send` answers the call that waits), newlist (another one,
 // to which `router turn` moves the router; their later connections are list2, newlist2, ...) and router
 // (`expect` reads its counters, `close` is a planned restart). `expect` goes on reading behind what it found
@@ -25,6 +25,7 @@
   std::string box_dialect = "platform";
   Time keepalive = 5'000'000, silence_limit = 3'000'000;
   std::string known_state = "SERVING";
+  std::string ops = {};  // the operators' door
   std::string flow_collector = {};
   std::size_t most_clients = 0, memory_mb = 192;
   std::vector<std::string> box_models = {};  // as discovery has them; "m" where there is none
