--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,7 +45,7 @@
 gboolean on_terminate(gpointer data) {
   const auto* running = static_cast<Running*>(data);
   logging::info("main") << "winding down, " << running->node.core().open() << " exchanges open";
-  running->node.wind_down([loop = running->loop] { g_main_loop_quit(loop); });
+  running->node.wind_down();
   return G_SOURCE_CONTINUE;
 }
 
@@ -74,10 +74,14 @@
   const std::size_t limit = descriptor_limit(config.sockets);
   const std::size_t own = kOwnDescriptors + (config.ops.empty() ? 0 : net::Door::kMostCallers + 1);
   net::descriptors().limit = limit - std::min(own, limit / 4);
-  Node node(config);
+  // Where operators can replace the process, it takes over from the one that serves at its address.
+  const char* folder = config.ops.empty() ? nullptr : std::getenv("TMPDIR");
+  auto estate = net::inherit(net::handover_path(folder == nullptr ? "" : folder, config.name, config.listen));
+  Node node(config, estate ? std::move(*estate) : net::Estate{});
   const std::unique_ptr<GMainLoop, void (*)(GMainLoop*)> loop(g_main_loop_new(nullptr, FALSE),
                                                               g_main_loop_unref);
   Running running{node, loop.get(), line};
+  node.when_over([quit = loop.get()] { g_main_loop_quit(quit); });
   g_unix_signal_add(SIGTERM, on_terminate, &running);
   g_unix_signal_add(SIGINT, on_terminate, &running);
   g_unix_signal_add(SIGHUP, on_hangup, &running);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -357,9 +357,10 @@
 
 Clients::Clients(Options options, const fronts::Names& names, core::Exchanges& core, Commons& commons)
     : options_(std::move(options)), names_(names), core_(core), commons_(commons) {
-  listener_ = std::make_unique<Listener>(
-      options_.address, [this] { return room(); }, [this](Owned<GSocket> s) { accepted(std::move(s)); },
-      options_.shared);
+  const auto room = [this] { return this->room(); };
+  const auto come = [this](Owned<GSocket> s) { accepted(std::move(s)); };
+  listener_ = options_.listening ? std::make_unique<Listener>(std::move(options_.listening), room, come)
+                                 : std::make_unique<Listener>(options_.address, room, come, options_.shared);
 }
 
 Clients::~Clients() = default;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -33,6 +33,7 @@
     std::size_t most_body_bytes = 48 * 1024 * 1024;
     std::size_t congested = 256 * 1024;  // bytes on the way to one client, above which its target has to wait
     Time crowded_absence = 0;            // advised when there is no room for a request
+    Owned<GSocket> listening = {};          // that listens already; none: one is opened at the address
     bool shared = false;                    // a successor may listen at the same address
     const life::Lifecycle* life = nullptr;  // not owned
     // A request was refused for want of room before the core had it: its class, as the client names it.
@@ -46,6 +47,7 @@
   // The phase of the router's life is another one.
   void phase_changed();
   std::string address() const { return listener_->address(); }
+  GSocket* socket() const { return listener_->socket(); }
   std::size_t connections() const { return lines_.size(); }
   const ClientCounters& counters() const { return counters_; }
 
--- /dev/null
+++ b/src/net/handover.cpp
@@ -0,0 +1,273 @@
+#include "net/handover.hpp"
+
+#include <gio/gunixfdmessage.h>
+#include <gio/gunixsocketaddress.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstring>
+#include <msgpack.hpp>
+
+#include "logging/log.hpp"
+
+namespace sprucecourse::net {
+namespace {
+
+constexpr std::uint32_t kMark = 0x54574831;       // "TWH1": a later version has another one
+constexpr std::uint32_t kMostOffer = 4'000'000;   // bytes
+constexpr std::size_t kMostSockets = 16;
+constexpr Time kAnswerWithin = 1'000'000;         // for the whole offer
+constexpr Time kServesWithin = 30'000'000;        // a successor that says nothing for longer is let go
+constexpr std::size_t kMostWord = 64;
+constexpr const char* kServing = "serving\n";
+
+struct Offer {
+  std::vector<std::string> names;  // of the descriptors, in their order
+  bool drained = false;
+  std::uint64_t held = 0;
+  std::string list, learned;
+  MSGPACK_DEFINE(names, drained, held, list, learned)
+};
+
+using Head = std::array<std::uint32_t, 2>;  // mark, length
+
+struct Refused : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+std::string text_of(GError* error) {
+  std::string text = error == nullptr ? "it ended" : error->message;
+  g_clear_error(&error);
+  return text;
+}
+
+Owned<GSocket> unix_socket() {
+  Owned<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_DEFAULT, nullptr));
+  if (!socket) throw Refused("there are no Unix sockets here");
+  return socket;
+}
+
+// Guards against another user's process behind the same name: sockets are handed only within one user.
+void check_user(GSocket* socket) {
+  const Owned<GCredentials> theirs(g_socket_get_credentials(socket, nullptr));
+  if (!theirs || g_credentials_get_unix_user(theirs.get(), nullptr) != geteuid()) throw Refused("it is another user's");
+}
+
+// The head comes with the descriptors.
+Head receive_head(GSocket* socket, std::vector<int>& fds) {
+  Head head{};
+  GInputVector vector{head.data(), sizeof(head)};
+  GSocketControlMessage** messages = nullptr;
+  int count = 0, flags = 0;
+  GError* error = nullptr;
+  const gssize got = g_socket_receive_message(socket, nullptr, &vector, 1, &messages, &count, &flags, nullptr, &error);
+  for (int i = 0; i < count; ++i) {
+    if (G_IS_UNIX_FD_MESSAGE(messages[i])) {
+      int length = 0;
+      int* stolen = g_unix_fd_message_steal_fds(G_UNIX_FD_MESSAGE(messages[i]), &length);
+      fds.insert(fds.end(), stolen, stolen + length);
+      g_free(stolen);
+    }
+    g_object_unref(messages[i]);
+  }
+  g_free(messages);
+  if (got != sizeof(head)) throw Refused(text_of(error));
+  return head;
+}
+
+std::string receive_rest(GSocket* socket, std::size_t size) {
+  std::string bytes(size, '\0');
+  const Time limit = now_us() + kAnswerWithin;
+  for (std::size_t at = 0; at < size;) {
+    if (now_us() > limit) throw Refused("its offer does not end");
+    GError* error = nullptr;
+    const gssize got = g_socket_receive(socket, bytes.data() + at, size - at, nullptr, &error);
+    if (got <= 0) throw Refused(text_of(error));
+    at += static_cast<std::size_t>(got);
+  }
+  return bytes;
+}
+
+// Descriptors that nobody takes are closed with it.
+struct Fds {
+  std::vector<int> all;
+  ~Fds() {
+    for (const int fd : all) {
+      if (fd >= 0) close(fd);
+    }
+  }
+};
+
+Estate receive(Owned<GSocket> socket) {
+  check_user(socket.get());
+  Fds fds;
+  const auto [mark, length] = receive_head(socket.get(), fds.all);
+  if (mark != kMark) throw Refused("it speaks another version");
+  if (length > kMostOffer) throw Refused("its offer is too long");
+  const std::string bytes = receive_rest(socket.get(), length);
+  Offer offer;
+  try {
+    msgpack::unpack(bytes.data(), bytes.size()).get().convert(offer);
+  } catch (const std::exception&) {
+    throw Refused("its offer cannot be read");
+  }
+  if (offer.names.size() != fds.all.size()) throw Refused("its sockets are not those it names");
+  Estate estate;
+  for (std::size_t i = 0; i < fds.all.size(); ++i) {
+    Owned<GSocket> inherited(g_socket_new_from_fd(fds.all[i], nullptr));
+    if (!inherited) throw Refused("it sent what is no socket");
+    fds.all[i] = -1;
+    g_socket_set_blocking(inherited.get(), FALSE);
+    estate.sockets[offer.names[i]] = std::move(inherited);
+  }
+  estate.drained = offer.drained;
+  estate.held = offer.held;
+  estate.list = std::move(offer.list);
+  estate.learned = std::move(offer.learned);
+  estate.line = std::move(socket);
+  return estate;
+}
+
+}  // namespace
+
+std::string handover_path(const std::string& folder, const std::string& name, const std::string& listen) {
+  if (folder.empty()) return {};
+  std::uint64_t hash = 0xcbf29ce484222325ull;
+  for (const char c : name + '\n' + listen) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
+  std::array<char, 32> text;
+  std::snprintf(text.data(), text.size(), "/thornwick-%016llx", static_cast<unsigned long long>(hash));
+  const std::string path = folder + text.data();
+  return path.size() < sizeof(sockaddr_un::sun_path) ? path : std::string();
+}
+
+std::optional<Estate> inherit(const std::string& path) {
+  struct stat found{};
+  if (path.empty() || stat(path.c_str(), &found) != 0) return std::nullopt;
+  try {
+    auto socket = unix_socket();
+    g_socket_set_timeout(socket.get(), kAnswerWithin / 1'000'000);
+    const Owned<GSocketAddress> address(g_unix_socket_address_new(path.c_str()));
+    GError* error = nullptr;
+    if (!g_socket_connect(socket.get(), address.get(), nullptr, &error)) {
+      // A file that a killed process left over: nobody is there, and that is nothing to tell.
+      const bool left_over = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+      const std::string why = text_of(error);
+      if (left_over) return std::nullopt;
+      throw Refused(why);
+    }
+    Estate estate = receive(std::move(socket));
+    g_socket_set_timeout(estate.line.get(), 0);
+    return estate;
+  } catch (const std::exception& problem) {
+    logging::warning("handover") << "nothing is taken over from the process at " << path << ": " << problem.what();
+    return std::nullopt;
+  }
+}
+
+// ---------------------------------------------------------------- the new process
+
+Predecessor::Predecessor(Owned<GSocket> line, Callbacks callbacks)
+    : callbacks_(std::move(callbacks)),
+      stream_({.connected = {},
+               .arrived = [this](std::string_view bytes) { heard(bytes); },
+               .drained = {},
+               .ended =
+                   [this] {
+                     stream_.close();
+                     callbacks_.gone();
+                   }}) {
+  stream_.adopt(std::move(line));
+}
+
+void Predecessor::serving() { stream_.write(std::string(kServing)); }
+
+void Predecessor::heard(std::string_view bytes) {
+  if (text_.size() < kMostWord) text_ += bytes;
+  if (text_ == "yours\n" || text_ == "yours, drained\n") callbacks_.yielded(text_ != "yours\n");
+}
+
+// ---------------------------------------------------------------- the old process
+
+Host::Host(std::string path, Callbacks callbacks) : path_(std::move(path)), callbacks_(std::move(callbacks)) { open(); }
+
+// The file goes only while it is this process's own.
+Host::~Host() {
+  if (listener_) unlink(path_.c_str());
+}
+
+void Host::open() {
+  unlink(path_.c_str());
+  const Owned<GSocketAddress> address(g_unix_socket_address_new(path_.c_str()));
+  GError* error = nullptr;
+  Owned<GSocket> socket(
+      g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_DEFAULT, &error));
+  if (!socket || !g_socket_bind(socket.get(), address.get(), FALSE, &error) || !g_socket_listen(socket.get(), &error)) {
+    throw NetError("no successor can come to " + path_ + ": " + text_of(error));
+  }
+  chmod(path_.c_str(), S_IRUSR | S_IWUSR);
+  listener_ = std::make_unique<Listener>(
+      std::move(socket), [] { return true; }, [this](Owned<GSocket> come) { accepted(std::move(come)); });
+}
+
+void Host::accepted(Owned<GSocket> socket) {
+  if (line_) return;  // one at a time; the other starts afresh
+  try {
+    check_user(socket.get());
+  } catch (const Refused&) {
+    return;
+  }
+  Estate estate = callbacks_.offer();
+  Offer offer{.names = {}, .drained = estate.drained, .held = estate.held, .list = estate.list, .learned = estate.learned};
+  const Owned<GUnixFDMessage> fds(G_UNIX_FD_MESSAGE(g_unix_fd_message_new()));
+  for (const auto& [name, lent] : estate.sockets) {
+    if (offer.names.size() == kMostSockets || !g_unix_fd_message_append_fd(fds.get(), g_socket_get_fd(lent.get()), nullptr)) continue;
+    offer.names.push_back(name);
+  }
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, offer);
+  Head head{kMark, static_cast<std::uint32_t>(bytes.size())};
+  GOutputVector vector{head.data(), sizeof(head)};
+  GSocketControlMessage* message = G_SOCKET_CONTROL_MESSAGE(fds.get());
+  if (g_socket_send_message(socket.get(), nullptr, &vector, 1, &message, 1, 0, nullptr, nullptr) != sizeof(head)) return;
+  text_.clear();
+  served_ = false;
+  line_ = std::make_unique<Stream>(Stream::Callbacks{.connected = {},
+                                                     .arrived = [this](std::string_view word) { heard(word); },
+                                                     .drained = {},
+                                                     .ended = [this] { lost(); }});
+  line_->adopt(std::move(socket));
+  line_->write(std::string(bytes.data(), bytes.size()));
+  limit_.start(kServesWithin, [this] { lost(); });
+  logging::info("handover") << "a successor has come: " << offer.names.size() << " sockets, " << bytes.size() << " bytes";
+}
+
+void Host::heard(std::string_view bytes) {
+  if (served_) return;
+  text_ += bytes;
+  if (text_ != kServing) {
+    if (text_.size() >= std::strlen(kServing)) lost();
+    return;
+  }
+  limit_.stop();
+  served_ = true;
+  listener_.reset();  // the path is the successor's from the next word on
+  line_->write(std::string(callbacks_.serving() ? "yours, drained\n" : "yours\n"));
+}
+
+void Host::lost() {
+  limit_.stop();
+  line_->close();
+  bury(std::exchange(line_, nullptr));
+  logging::warning("handover") << "the successor has gone " << (served_ ? "after" : "before") << " it served";
+  callbacks_.lost();
+  if (listener_) return;
+  try {
+    open();
+  } catch (const NetError& problem) {
+    logging::warning("handover") << problem.what();
+  }
+}
+
+}  // namespace sprucecourse::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -394,6 +394,13 @@
   resume();
 }
 
+Listener::Listener(Owned<GSocket> listening, std::function<bool()> room, Accepted accepted)
+    : room_(std::move(room)), accepted_(std::move(accepted)), socket_(std::move(listening)) {
+  g_socket_set_blocking(socket_.get(), FALSE);
+  ++descriptors().held;
+  resume();
+}
+
 Listener::~Listener() { --descriptors().held; }
 
 std::string Listener::address() const {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -138,10 +138,13 @@
   // `room` says whether another connection can be taken now. `shared`: another process of this user may listen at
   // the same address. Throws NetError if it cannot listen.
   Listener(const std::string& address, std::function<bool()> room, Accepted accepted, bool shared = false);
+  // At a socket that listens already.
+  Listener(Owned<GSocket> listening, std::function<bool()> room, Accepted accepted);
   ~Listener();
   void resume();  // a connection has gone: try again
   void stop();    // until resume(); what comes meanwhile waits in the kernel
   std::string address() const;
+  GSocket* socket() const { return socket_.get(); }
 
  private:
   void accept();
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -7,23 +7,37 @@
 
 namespace sprucecourse::net {
 
-Peers::Peers(const Options& options, Said said) : said_(std::move(said)), names_(options.peers) {
-  if (options.listen.empty()) return;
-  for (const auto& peer : options.peers) addresses_.push_back(parse_address(peer));
-  all_ = parse_address(options.all);
-  const auto own = parse_address(options.listen);
-  if (!own) throw NetError("peers: not an address: " + options.listen);
+namespace {
+
+Owned<GSocket> bound_to(const std::string& address) {
+  const auto own = parse_address(address);
+  if (!own) throw NetError("peers: not an address: " + address);
   GError* error = nullptr;
-  socket_.reset(g_socket_new(g_socket_address_get_family(own.get()), G_SOCKET_TYPE_DATAGRAM,
-                             G_SOCKET_PROTOCOL_UDP, &error));
-  if (!socket_ || !g_socket_bind(socket_.get(), own.get(), TRUE, &error)) {
+  Owned<GSocket> socket(g_socket_new(g_socket_address_get_family(own.get()), G_SOCKET_TYPE_DATAGRAM,
+                                     G_SOCKET_PROTOCOL_UDP, &error));
+  if (!socket || !g_socket_bind(socket.get(), own.get(), TRUE, &error)) {
     const std::string why = error->message;
     g_error_free(error);
-    throw NetError("peers: cannot listen on " + options.listen + ": " + why);
+    throw NetError("peers: cannot listen on " + address + ": " + why);
   }
+  return socket;
+}
+
+}  // namespace
+
+Peers::Peers(Options options, Said said) : said_(std::move(said)), names_(options.peers) {
+  if (options.listen.empty()) return;
+  for (const auto& peer : options.peers) addresses_.push_back(parse_address(peer));
+  all_ = parse_address(options.all);
+  socket_ = options.bound ? std::move(options.bound) : bound_to(options.listen);
   g_socket_set_blocking(socket_.get(), FALSE);
   ++descriptors().held;
-  watch_.start(socket_.get(), G_IO_IN, [this] { readable(); });
+  listen(true);
+}
+
+void Peers::listen(bool on) {
+  watch_.stop();
+  if (on && socket_) watch_.start(socket_.get(), G_IO_IN, [this] { readable(); });
 }
 
 Peers::~Peers() {
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -13,13 +13,16 @@
   struct Options {
     std::string listen, all;
     std::vector<std::string> peers;  // by rank, this router's own included
+    Owned<GSocket> bound = {};       // that listens already; none: one is bound
   };
   using Said = std::function<void(std::uint32_t, std::span<const std::uint8_t>)>;
 
   // Without an address to listen on there are no peers. Throws NetError if it cannot listen.
-  Peers(const Options& options, Said said);
+  Peers(Options options, Said said);
   ~Peers() override;
   void tell(std::uint32_t rank, const std::string& message) override;
+  void listen(bool on);  // off: what comes is another process's
+  GSocket* socket() const { return socket_.get(); }  // none: there are no peers
 
  private:
   void readable();
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -162,6 +162,24 @@
   if (known.is_object()) take_list(known, true);
 }
 
+std::string RouteTable::list() const {
+  std::string targets;
+  for (const auto& [id, route] : routes_) {
+    if (route.listing.state == Listed::gone) continue;
+    const auto name = [](const std::vector<std::string>& names, std::size_t at) {
+      return at < names.size() ? names[at] : std::string();
+    };
+    targets += std::string(targets.empty() ? "" : ",") + "{\"uid\":" + fronts::json_text(route.uid) +
+               ",\"endpoint\":" + fronts::json_text(route.endpoint) +
+               ",\"az\":" + fronts::json_text(name(options_.zones, route.listing.zone)) +
+               ",\"model\":" + fronts::json_text(route.model) + ",\"pod_group\":" + std::to_string(route.group) +
+               ",\"state\":\"" + (route.listing.state == Listed::ready ? "SERVING" : "DRAINING") +
+               "\",\"capacity_hint\":" + std::to_string(route.listing.weight) +
+               ",\"boot_ms\":" + std::to_string(route.listing.started / 1000) + "}";
+  }
+  return "{" + (has_rev_ ? "\"rev\":" + std::to_string(rev_) + "," : std::string()) + "\"all\":true,\"targets\":[" + targets + "]}";
+}
+
 void RouteTable::take_list(simdjson::dom::element list, bool cached) {
   std::uint64_t rev = 0;
   has_rev_ = list.at_key("rev").get(rev) == simdjson::SUCCESS;
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -41,6 +41,8 @@
 
   // The list as this router last held it.
   void start_from(simdjson::dom::element known);
+  // The same of now, in discovery's form.
+  std::string list() const;
 
   void watch() override;
   void fetch() override;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -21,6 +21,8 @@
 constexpr Time kCrowdedAbsence = 1'000'000;  // advised when there is no room for a request
 constexpr std::size_t kMostBoxLines = 64;
 constexpr double kBoundsConfidence = 0.95;  // of a box's hit rate
+constexpr Time kLookAgain = 20'000;           // a new process: whether it can serve by now
+constexpr std::size_t kSparePart = 8;         // one in so many descriptors is kept while a successor starts
 constexpr Time kQuiet = 3'000'000;           // winding down: without clients for this long, the router ends
 
 }  // namespace
@@ -115,7 +117,7 @@
   Router(config.settings, 0);  // the module has its own checks
 }
 
-Node::Node(const Config& config)
+Node::Node(const Config& config, net::Estate estate)
     : config_(config),
       figures_(config.classes),
       names_{config.classes, config.tenants, {}},
@@ -125,7 +127,10 @@
                 if (routes_.size() > 0) life_.listed();
                 core_->listed(scope, entries);
               }),
-      peers_({.listen = config.peer_listen, .all = config.peers_all, .peers = config.peers},
+      peers_({.listen = config.peer_listen,
+              .all = config.peers_all,
+              .peers = config.peers,
+              .bound = std::move(estate.sockets[config.peer_listen])},
              [this](std::uint32_t rank, std::span<const std::uint8_t> message) {
                core_->peer_said(rank, message);
              }),
@@ -149,16 +154,25 @@
   if (!config_.added.catalogue.empty()) {
     names_.model = [this](std::string_view name) { return config_.added.catalogue.find(name); };
   }
-  if (!config.known.empty()) {
+  // The predecessor's list is of now; the configuration's may be old.
+  if (const std::string& list = estate.list.empty() ? config.known : estate.list; !list.empty()) {
     simdjson::dom::parser parser;
     simdjson::dom::element known;
-    if (parser.parse(config.known).get(known) == simdjson::SUCCESS) routes_.start_from(known);
+    if (parser.parse(list).get(known) == simdjson::SUCCESS) routes_.start_from(known);
   }
-  open_front(config.listen, fronts::platform());
-  if (!config.added.messages_listen.empty()) open_front(config.added.messages_listen, fronts::messages());
+  if (estate.drained) life_.leave(net::now_us());
+  open_front(config.listen, fronts::platform(), estate);
+  if (!config.added.messages_listen.empty()) open_front(config.added.messages_listen, fronts::messages(), estate);
   if (config.ops.empty()) return;
   door_ = std::make_unique<net::Door>(config.ops, [this](std::string_view line) { return answer_call(line); });
   logging::info("main") << "operators call at " << door_->address();
+  descriptor_limit_ = net::descriptors().limit;
+  if (estate.line) {
+    net::descriptors().limit -= std::min(net::descriptors().limit / 2, estate.held);
+    open_handover(std::move(estate.line));
+  } else {
+    host();
+  }
 }
 
 net::Servers::Options Node::server_options() {
@@ -205,8 +219,9 @@
   return options;
 }
 
-void Node::open_front(const std::string& address, const fronts::Dialect& speaks) {
+void Node::open_front(const std::string& address, const fronts::Dialect& speaks, net::Estate& estate) {
   auto options = client_options();
+  options.listening = std::move(estate.sockets[address]);
   options.address = address;
   options.dialect = &speaks;
   fronts_.push_back(std::make_unique<net::Clients>(std::move(options), names_, *core_, commons_));
@@ -447,8 +462,7 @@
   for (const auto& model : config_.added.catalogue.models) treasury_->prices.push_back(model.price);
 }
 
-void Node::wind_down(std::function<void()> done) {
-  done_ = std::move(done);
+void Node::wind_down() {
   quiet_since_ = net::now_us();
   life_.terminate(quiet_since_);
   phase_changed("the process is to end");
@@ -460,11 +474,95 @@
     const bool busy = core_->open() > 0 || std::any_of(fronts_.begin(), fronts_.end(),
                                                        [](auto& f) { return f->connections() > 0; });
     if (busy) quiet_since_ = net::now_us();
-    if (net::now_us() - quiet_since_ >= kQuiet) return done_();
+    // With a successor nobody comes here any more.
+    const Time quiet = life_.phase() == life::Phase::handed_over ? 0 : kQuiet;
+    if (!busy && net::now_us() - quiet_since_ >= quiet) return done_();
     watch_quiet();
   });
 }
 
+// ---------------------------------------------------------------- replacing the process
+
+// The new process: it says that it serves as soon as it does, and hosts in its turn once the path is free.
+void Node::open_handover(net::Owned<GSocket> line) {
+  const auto alone = [this] {
+    net::descriptors().limit = descriptor_limit_;
+    predecessor_.reset();
+    if (!host_) host();
+  };
+  predecessor_ = std::make_unique<net::Predecessor>(
+      std::move(line), net::Predecessor::Callbacks{.yielded =
+                                                       [this](bool drained) {
+                                                         if (drained && life_.leave(net::now_us())) phase_changed("the predecessor was drained");
+                                                         if (!host_) host();
+                                                       },
+                                                   .gone = [this, alone] {
+                                                     logging::info("handover") << "the predecessor has gone";
+                                                     serving_.start(0, alone);  // not within its own callback
+                                                   }});
+  serving_.start(0, [this] { say_serving(); });
+}
+
+void Node::say_serving() {
+  if (!predecessor_) return;
+  if (!life_.able(net::now_us())) return serving_.start(kLookAgain, [this] { say_serving(); });
+  predecessor_->serving();
+  logging::info("handover") << "serving in the place of the predecessor";
+}
+
+void Node::host() {
+  const char* folder = std::getenv("TMPDIR");
+  const std::string path = net::handover_path(folder == nullptr ? "" : folder, config_.name, config_.listen);
+  if (path.empty()) return;
+  try {
+    host_ = std::make_unique<net::Host>(
+        path, net::Host::Callbacks{.offer = [this] { return offer(); },
+                                   .serving =
+                                       [this] {
+                                         handed_over();
+                                         return life_.drained();
+                                       },
+                                   .lost = [this] { taken_back(); }});
+  } catch (const net::NetError& problem) {
+    logging::warning("handover") << problem.what();
+  }
+}
+
+// Both processes together may hold what one may: this one keeps what it holds and a little for what it finishes.
+net::Estate Node::offer() {
+  net::Estate estate;
+  const auto lend = [&](const std::string& name, GSocket* socket) {
+    if (socket != nullptr) estate.sockets[name].reset(G_SOCKET(g_object_ref(socket)));
+  };
+  lend(config_.listen, fronts_.front()->socket());
+  if (fronts_.size() > 1) lend(config_.added.messages_listen, fronts_.back()->socket());
+  lend(config_.peer_listen, peers_.socket());
+  estate.drained = life_.drained();
+  estate.held = std::min(descriptor_limit_, net::descriptors().held + descriptor_limit_ / kSparePart);
+  estate.list = routes_.list();
+  net::descriptors().limit = estate.held;
+  return estate;
+}
+
+void Node::handed_over() {
+  life_.hand_over(net::now_us());
+  peers_.listen(false);
+  phase_changed("a successor serves");
+  quiet_since_ = net::now_us();
+  watch_quiet();
+}
+
+void Node::taken_back() {
+  const bool handed = life_.phase() == life::Phase::handed_over;
+  net::descriptors().limit = descriptor_limit_;
+  if (!handed) return;
+  life_.take_back();
+  peers_.listen(true);
+  quiet_since_ = net::now_us();
+  if (life_.phase() != life::Phase::winding_down) quiet_.stop();
+  phase_changed("the successor is gone");
+}
+
 void Node::print_counters(std::ostream& line) const {
   const auto& c = core_->counters();
   line << "taken=" << c.taken << " open=" << core_->open() << " hops=" << c.hops << " served=" << c.served
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -16,6 +16,7 @@
 #include "net/clients.hpp"
 #include "net/door.hpp"
 #include "net/flows.hpp"
+#include "net/handover.hpp"
 #include "net/loop.hpp"
 #include "net/peers.hpp"
 #include "net/route_table.hpp"
@@ -51,14 +52,17 @@
 class Node : private affinity::Witness {
  public:
   // Serves from then on, as long as GLib's main loop runs. Throws BadConfig or NetError.
-  explicit Node(const Config& config);
+  // With what a predecessor passed on, if there is one.
+  explicit Node(const Config& config, net::Estate estate = {});
 
   // A new configuration under load. Discovery's address takes effect at once, all else at the next start.
   // Throws what check_config throws, and then nothing has changed.
   void reload(const Config& config);
 
-  // A planned restart: all that comes is still taken and answered. `done` is called once nobody is left.
-  void wind_down(std::function<void()> done);
+  // Called once when nobody is left after wind_down, or after a successor has taken over.
+  void when_over(std::function<void()> done) { done_ = std::move(done); }
+  // A planned restart: all that comes is still taken and answered.
+  void wind_down();
 
   // What is believed is durable on return, or the time is over (microseconds; false). For a planned stop.
   bool save(Time most);
@@ -87,7 +91,13 @@
  private:
   net::Servers::Options server_options();
   net::Clients::Options client_options();
-  void open_front(const std::string& address, const fronts::Dialect& speaks);
+  void open_front(const std::string& address, const fronts::Dialect& speaks, net::Estate& estate);
+  void open_handover(net::Owned<GSocket> line);
+  void host();
+  net::Estate offer();
+  void handed_over();
+  void taken_back();
+  void say_serving();
   void record(const core::Tally& tally);
   void phase_changed(const char* why);
   void watch_quiet();
@@ -124,8 +134,11 @@
   net::Commons commons_;
   std::vector<std::unique_ptr<net::Clients>> fronts_;
   std::unique_ptr<net::Door> door_;  // none unless the configuration names an address
-  std::function<void()> done_;
-  net::Timer quiet_, store_tick_;
+  std::unique_ptr<net::Predecessor> predecessor_;  // while it lives
+  std::unique_ptr<net::Host> host_;  // none unless there is a door and a folder
+  std::function<void()> done_ = [] {};
+  net::Timer quiet_, store_tick_, serving_;
+  std::size_t descriptor_limit_ = 0;  // of this process alone
   bool store_failing_ = false;
   std::uint64_t store_troubles_ = 0;  // openings that failed, damaged files set aside, and writes that began to fail
   std::uint64_t reloads_ = 0;
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -285,7 +285,7 @@
   } else if (verb == "expect") {
     expect(actor, read_text(rest));
   } else if (verb == "close" && actor == "router") {
-    node_->wind_down([] {});
+    node_->wind_down();
   } else if (verb == "turn") {
     config_.discovery = new_list_->address();
     node_->reload(config_);
