Test the handover with two processes, and tell a successor's exit from its death

Seen: with three processes in a row the first, still winding down, never ended. gdb was not needed: of its sockets only the listener was left, and its log said "the successor is gone": the second process had handed over to the third and ended, and Host::lost() took that for a death, so the first accepted again and never was without clients. Ruled out: client connections (all were closed by it), the stream that ran through (it had its end). Change: a successor that hands over in its turn says so ("passed on"), and its end then changes nothing. An offer that cannot be sent no longer leaves the descriptors' limit lowered (Host::accepted returned before `lost`). Tests: net: handover.cpp (4): two replacements under a crowd of clients with a stream through both, a successor that dies before and after it serves, left-over, silent, foreign and senseless hosts, SIGTERM before the successor serves.

--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -22,6 +22,7 @@
 constexpr Time kServesWithin = 30'000'000;        // a successor that says nothing for longer is let go
 constexpr std::size_t kMostWord = 64;
 constexpr const char* kServing = "serving\n";
+constexpr const char* kPassedOn = "passed on\n";
 
 struct Offer {
   std::vector<std::string> names;  // of the descriptors, in their order
@@ -183,6 +184,8 @@
 
 void Predecessor::serving() { stream_.write(std::string(kServing)); }
 
+void Predecessor::passed_on() { stream_.write(std::string(kPassedOn)); }
+
 void Predecessor::heard(std::string_view bytes) {
   if (text_.size() < kMostWord) text_ += bytes;
   if (text_ == "yours\n" || text_ == "yours, drained\n") callbacks_.yielded(text_ != "yours\n");
@@ -230,26 +233,37 @@
   Head head{kMark, static_cast<std::uint32_t>(bytes.size())};
   GOutputVector vector{head.data(), sizeof(head)};
   GSocketControlMessage* message = G_SOCKET_CONTROL_MESSAGE(fds.get());
-  if (g_socket_send_message(socket.get(), nullptr, &vector, 1, &message, 1, 0, nullptr, nullptr) != sizeof(head)) return;
+  const gssize sent = g_socket_send_message(socket.get(), nullptr, &vector, 1, &message, 1, 0, nullptr, nullptr);
   text_.clear();
-  served_ = false;
+  served_ = passed_on_ = false;
   line_ = std::make_unique<Stream>(Stream::Callbacks{.connected = {},
                                                      .arrived = [this](std::string_view word) { heard(word); },
                                                      .drained = {},
                                                      .ended = [this] { lost(); }});
   line_->adopt(std::move(socket));
+  if (sent != sizeof(head)) return lost();
   line_->write(std::string(bytes.data(), bytes.size()));
   limit_.start(kServesWithin, [this] { lost(); });
   logging::info("handover") << "a successor has come: " << offer.names.size() << " sockets, " << bytes.size() << " bytes";
 }
 
 void Host::heard(std::string_view bytes) {
-  if (served_) return;
   text_ += bytes;
-  if (text_ != kServing) {
-    if (text_.size() >= std::strlen(kServing)) lost();
-    return;
+  for (auto end = text_.find('\n'); end != std::string::npos; end = text_.find('\n')) {
+    const std::string word = text_.substr(0, end + 1);
+    text_.erase(0, end + 1);
+    if (word == kServing && !served_) {
+      serves();
+    } else if (word == kPassedOn && served_) {
+      passed_on_ = true;
+    } else {
+      return lost();
+    }
   }
+  if (text_.size() > kMostWord) lost();
+}
+
+void Host::serves() {
   limit_.stop();
   served_ = true;
   listener_.reset();  // the path is the successor's from the next word on
@@ -260,6 +274,7 @@
   limit_.stop();
   line_->close();
   bury(std::exchange(line_, nullptr));
+  if (passed_on_) return;
   logging::warning("handover") << "the successor has gone " << (served_ ? "after" : "before") << " it served";
   callbacks_.lost();
   if (listener_) return;
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -40,6 +40,7 @@
   };
   Predecessor(Owned<GSocket> line, Callbacks callbacks);
   void serving();
+  void passed_on();  // to a successor in its turn: that this process ends is no death
 
  private:
   void heard(std::string_view bytes);
@@ -65,6 +66,7 @@
  private:
   void accepted(Owned<GSocket> socket);
   void heard(std::string_view bytes);
+  void serves();
   void lost();
   void open();
 
@@ -74,7 +76,7 @@
   std::unique_ptr<Stream> line_;        // one successor at a time
   std::string text_;
   Timer limit_;
-  bool served_ = false;
+  bool served_ = false, passed_on_ = false;
 };
 
 }  // namespace sprucecourse::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -546,6 +546,7 @@
 
 void Node::handed_over() {
   life_.hand_over(net::now_us());
+  if (predecessor_) predecessor_->passed_on();
   peers_.listen(false);
   phase_changed("a successor serves");
   quiet_since_ = net::now_us();
--- /dev/null
+++ b/tests/net/handover.cpp
@@ -0,0 +1,247 @@
+// Two real processes at one address: a successor takes over, or does not, and no client is turned back unheard.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+
+#include <atomic>
+#include <filesystem>
+#include <thread>
+
+#include "../store/scratch.hpp"
+#include "http/http.hpp"
+#include "net/handover.hpp"
+#include "program.hpp"
+
+using namespace sprucecourse;
+using sprucecourse::testing::Program;
+using sprucecourse::testing::Scratch;
+using sprucecourse::testing::write_bytes;
+
+namespace {
+
+// A blocking socket; whatever it waits for comes, or fails the test after 20 s.
+class Wire {
+ public:
+  explicit Wire(int port) : fd_(made(AF_INET)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  }
+  explicit Wire(const std::string& path) : fd_(made(AF_UNIX)) {
+    const sockaddr_un to = at(path);
+    REQUIRE(connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+  }
+  static sockaddr_un at(const std::string& path) {
+    sockaddr_un to{};
+    to.sun_family = AF_UNIX;
+    path.copy(to.sun_path, sizeof to.sun_path - 1);
+    return to;
+  }
+  ~Wire() { close(fd_); }
+  Wire(const Wire&) = delete;
+  Wire& operator=(const Wire&) = delete;
+
+  void send(const std::string& text) { REQUIRE(write(fd_, text.data(), text.size()) == static_cast<ssize_t>(text.size())); }
+  // All up to this text; up to the end of the connection if it never comes.
+  std::string until(const std::string& text) {
+    std::string got;
+    for (char c = 0; got.find(text) == std::string::npos && read(fd_, &c, 1) == 1;) got += c;
+    return got;
+  }
+
+  static int made(int family) {
+    const int fd = socket(family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval most{.tv_sec = 20, .tv_usec = 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+    return fd;
+  }
+
+ private:
+  int fd_;
+};
+
+std::string call(int port, const std::string& word) {
+  Wire wire(port);
+  wire.send(word + "\n");
+  return wire.until("\n");
+}
+
+std::string ready(int port) {
+  Wire wire(port);
+  wire.send("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+  return wire.until("\r\n");
+}
+
+// A box that answers one request with a beginning, and with the end when it is told.
+class Box {
+ public:
+  Box() : listener_(Wire::made(AF_INET)) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof own;
+    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&own), sizeof own) == 0);
+    REQUIRE(listen(listener_, 8) == 0);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &size);
+    port = ntohs(own.sin_port);
+  }
+  ~Box() { close(hop_), close(listener_); }
+  void begin() {
+    hop_ = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    std::array<char, 4096> request;
+    REQUIRE(read(hop_, request.data(), request.size()) > 0);
+    say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        http::write_chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"begins\"},\"finish_reason\":null}]}\n\n"));
+  }
+  void finish() { say(http::write_chunk("data: [DONE]\n\n") + std::string(http::kLastChunk)); }
+  int port = 0;
+
+ private:
+  void say(const std::string& text) { REQUIRE(write(hop_, text.data(), text.size()) == static_cast<ssize_t>(text.size())); }
+  int listener_, hop_ = -1;
+};
+
+std::string ask() {
+  const std::string body = R"({"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]})";
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Request-ID: r1\r\nX-Priority-Class: chat\r\n"
+         "X-Tenant-Id: acme\r\nX-Timeout-Ms: 9000\r\nX-Attrs: prompt_len=40,max_out=50\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A router with a door; its ports as it says them.
+struct Serving {
+  Serving(const std::string& config, const std::string& folder) : program(config, "text", folder) {
+    front = port_in(program.says("platform front on"));
+    door = port_in(program.says("operators call at"));
+    REQUIRE(program.says("n1 serves on") != "");
+  }
+  static int port_in(const std::string& line) { return std::atoi(line.substr(line.rfind(':') + 1).c_str()); }
+  Program program;
+  int front = 0, door = 0;
+};
+
+struct Place {
+  explicit Place(int box = 1) : config(scratch.path("config.json")), tmp(scratch.path("tmp")) {
+    std::filesystem::create_directory(tmp);
+    write_bytes(config, R"({"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff",)"
+                        R"("known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:)" + std::to_string(box) +
+                        R"(","state":"SERVING"}]},"settings":{"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],"tenants":[{"name":"acme","share":1}]}})");
+    path = net::handover_path(tmp, "n1", "127.0.0.1:0");
+  }
+  Scratch scratch;
+  std::string config, tmp, path;
+};
+
+}  // namespace
+
+TEST_CASE("two replacements in a row turn nobody back, and a stream that runs through both gets its end") {
+  Box box;
+  Place place(box.port);
+  Serving first(place.config, place.tmp);
+  Wire stream(first.front);
+  stream.send(ask());
+  box.begin();
+  CHECK(stream.until("begins").starts_with("HTTP/1.1 200"));
+  Wire early(first.front);  // connected before, heard after
+  std::atomic<bool> over = false;
+  int heard = 0, asked = 0;
+  std::thread crowd([&] {
+    for (; !over; ++asked) heard += ready(first.front).starts_with("HTTP/1.1 200") ? 1 : 0;
+  });
+  Serving second(place.config, place.tmp);
+  CHECK(second.front == first.front);
+  CHECK(first.program.says("handed-over: a successor serves, 1 exchanges open") != "");
+  CHECK(call(first.door, "HEALTH") == "-ERR handed-over\n");
+  CHECK(call(second.door, "HEALTH") == "+OK serving\n");
+  early.send("GET /health/ready HTTP/1.1\r\n\r\n");
+  const std::string answer = early.until("}");
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  Serving third(place.config, place.tmp);
+  CHECK(second.program.says("handed-over: a successor serves") != "");
+  CHECK(second.program.status() == 0);  // it has nothing to finish
+  first.program.signal(SIGTERM);
+  box.finish();
+  CHECK(stream.until("0\r\n\r\n").find("[DONE]") != std::string::npos);
+  CHECK(first.program.status() == 0);
+  over = true;
+  crowd.join();
+  CHECK(heard == asked);
+  CHECK(ready(third.front).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a successor that dies leaves the old process serving, before and after it served") {
+  Box box;
+  Place place(box.port);
+  Serving first(place.config, place.tmp);
+  { Wire dies(place.path); }
+  CHECK(first.program.says("the successor has gone before it served") != "");
+  Wire stream(first.front);  // keeps the old process in work
+  stream.send(ask());
+  box.begin();
+  CHECK(stream.until("begins") != "");
+  {
+    Serving second(place.config, place.tmp);
+    CHECK(first.program.says("handed-over: a successor serves") != "");
+  }
+  CHECK(first.program.says("serving: the successor is gone") != "");
+  CHECK(ready(first.front).starts_with("HTTP/1.1 200"));
+  CHECK(call(first.door, "LEAVE") == "+OK drained\n");
+  Serving third(place.config, place.tmp);  // a drain holds for the router, whichever process serves it
+  CHECK(first.program.says("handed-over: a successor serves") != "");
+  CHECK(ready(third.front).starts_with("HTTP/1.1 503"));
+  CHECK(call(third.door, "JOIN") == "+OK serving\n");
+}
+
+TEST_CASE("what is left over, silent, of another version or out of its mind gives an ordinary start") {
+  Place place;
+  {
+    Serving killed(place.config, place.tmp);
+    killed.program.signal(SIGKILL);
+    killed.program.status();
+  }
+  REQUIRE(std::filesystem::exists(place.path));
+  {
+    Serving again(place.config, place.tmp);
+    CHECK(ready(again.front).starts_with("HTTP/1.1 200"));
+    again.program.signal(SIGKILL);
+    again.program.status();
+  }
+  for (const std::string& said : {std::string(), std::string("another version of it"), std::string("1HWT\xff\xff\xff\xff"),
+                                 std::string("1HWT\x03\0\0\0abc", 11)}) {
+    std::filesystem::remove(place.path);
+    const int listener = socket(AF_UNIX, SOCK_STREAM, 0);
+    const sockaddr_un own = Wire::at(place.path);
+    REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&own), sizeof own) == 0);
+    REQUIRE(listen(listener, 1) == 0);
+    std::thread host([&] {
+      const int come = accept(listener, nullptr, nullptr);
+      if (write(come, said.data(), said.size()) < 0) return;
+      char none = 0;
+      while (read(come, &none, 1) > 0) {
+      }
+      close(come);
+    });
+    Program program(place.config, "text", place.tmp);
+    CHECK(program.says("nothing is taken over") != "");
+    CHECK(program.says("n1 serves on") != "");
+    host.join();
+    close(listener);
+  }
+  Program elsewhere(place.config, "text", place.scratch.path("no such folder"));
+  CHECK(elsewhere.says("no successor can come") != "");
+  CHECK(elsewhere.says("n1 serves on") != "");
+}
+
+TEST_CASE("SIGTERM before the successor serves is a planned restart") {
+  Place place;
+  Serving first(place.config, place.tmp);
+  Wire waits(place.path);
+  CHECK(first.program.says("a successor has come") != "");
+  first.program.signal(SIGTERM);
+  CHECK(first.program.says("winding-down: the process is to end") != "");
+  CHECK(ready(first.front).starts_with("HTTP/1.1 503"));
+  CHECK(first.program.status() == 0);
+}
--- a/tests/net/process.cpp
+++ b/tests/net/process.cpp
@@ -1,62 +1,13 @@
 // The program itself: its signals, and what it says on standard error.
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <array>
-#include <catch2/catch.hpp>
-#include <csignal>
-#include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-#include "net/loop.hpp"
+#include "program.hpp"
 
-using namespace sprucecourse;
+using sprucecourse::testing::Program;
 
 namespace {
 
-// The program under test, with its standard error read line by line. Every wait is for something it says.
-class Program {
- public:
-  explicit Program(const std::string& config, const char* format = "text") {
-    int ends[2];
-    REQUIRE(pipe(ends) == 0);
-    pid_ = fork();
-    REQUIRE(pid_ >= 0);
-    if (pid_ == 0) {
-      dup2(ends[1], STDERR_FILENO);
-      alarm(60);  // stays across exec: guards the test against a line that never comes
-      execl(THORNWICK, THORNWICK, "--config", config.c_str(), "--log-format", format, nullptr);
-      _exit(127);
-    }
-    close(ends[1]);
-    said_ = fdopen(ends[0], "r");
-  }
-  ~Program() {
-    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
-    fclose(said_);
-  }
-
-  // The first line from here on with this text in it; empty if the program ends without it.
-  std::string says(const std::string& text) {
-    std::array<char, 4096> line;
-    while (fgets(line.data(), line.size(), said_) != nullptr) {
-      if (std::string(line.data()).find(text) != std::string::npos) return line.data();
-    }
-    return {};
-  }
-  void signal(int number) { kill(pid_, number); }
-  int status() {
-    int status = -1;
-    waitpid(std::exchange(pid_, 0), &status, 0);
-    return status;
-  }
-
- private:
-  pid_t pid_ = 0;
-  FILE* said_ = nullptr;
-};
-
 void write_config(const std::string& path, const std::string& discovery) {
   const std::string fresh = path + ".new";
   std::ofstream(fresh)
