Watch a pushed list from the start on, and take attempts from the settings

Cause: rules.cpp, State's constructor returns before its first directory timer unless directory_must_ask (in the simulator pushed lists come by themselves), and RouteTable only asks when the module says so. exchanges.hpp had kMostHops = 5, the first deployment's figure, in front of the settings' max_attempts. Change: RouteTable asks a pushed list itself, with waits of 1 s (the agent is silent while discovery is down, and what it has counts as told), again 100 ms after a failure, without the module's pauses. An older version is counted (list_old), logged once a second and not taken until it has been all there was for rules.askWithin. Attempts: max_attempts alone.

--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -1,6 +1,7 @@
 #include "core/exchanges.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace sprucecourse::core {
@@ -8,7 +9,7 @@
 Exchanges::Exchanges(const Settings& settings, const Surroundings& around, std::unique_ptr<Decider> decider)
     : around_(around),
       decider_(decider ? std::move(decider) : make_module(settings, around.clock.now())),
-      most_hops_(std::min<std::uint32_t>(settings.max_attempts, kMostHops)),
+      most_hops_(std::min<std::uint32_t>(settings.max_attempts, std::numeric_limits<decltype(HopId::number)>::max())),
       come_back_(settings.retry_after ? settings.max_retry_after / 2 : 0) {
   pump();
 }
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -79,7 +79,6 @@
 
 // The part of the slack after a deadline that the core waits for the module before it answers itself.
 inline constexpr Time kBackstop = 8'000;
-inline constexpr std::size_t kMostHops = 5;
 
 class Exchanges {
  public:
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -16,6 +16,10 @@
 constexpr Time kWait = 5'000'000;         // a watch without news ends then
 constexpr Time kGrace = 1'500'000;        // beyond the wait; what was not told counts as told after 2 s
 constexpr Time kAnswerLimit = 5'000'000;  // for a call that waits for nothing; it counts as told after 6 s
+// An agent that is silent because discovery is down may not answer the call that waits once it is back: what it has
+// counts as told all the same, so calls are short. They cost nothing.
+constexpr Time kAgentWait = 1'000'000, kAgentGrace = 300'000;
+constexpr Time kAgentAgain = 100'000;     // after a failed call
 constexpr std::size_t kRemembered = 64;   // targets that are gone, for the records of their last exchanges
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
@@ -29,8 +33,11 @@
 RouteTable::RouteTable(Options options, Heard heard)
     : options_(std::move(options)), heard_(std::move(heard)), address_(parse_address(options_.address)) {
   if (!address_) throw NetError("discovery: not an address: " + options_.address);
+  if (options_.pushed) again_.start(0, [this] { watch(); });
 }
 
+Time RouteTable::watch_wait() const { return options_.pushed ? kAgentWait : kWait; }
+
 const Route* RouteTable::find(ReplicaId target) const {
   const auto found = routes_.find(target);
   return found == routes_.end() ? nullptr : &found->second;
@@ -53,7 +60,7 @@
   if (asking_) return;
   // Without a list the first call asks for what is known now; only then is there something to wait for. With one, a
   // call that asks and another that waits would be two for discovery, which works through those of all routers in turn.
-  ask(!has_rev_, has_rev_ ? kWait : 0);
+  ask(!has_rev_, has_rev_ ? watch_wait() : 0);
 }
 
 void RouteTable::fetch() {
@@ -83,7 +90,8 @@
   }
   request_ = write_head("GET " + target + " HTTP/1.1", {{"Host", options_.address}});
   // Every call has its limit: a discovery that vanished says nothing and closes nothing.
-  limit_.start(wait > 0 ? wait + kGrace : kAnswerLimit, [this] { failed("no answer in time"); });
+  const Time patience = options_.pushed ? wait + kAgentGrace : wait > 0 ? wait + kGrace : kAnswerLimit;
+  limit_.start(patience, [this] { failed("no answer in time"); });
   reader_ = std::make_unique<MessageReader>(MessageReader::Kind::answer, kMostList);
   body_.clear();
   if (stream_ && stream_->open()) return stream_->write(request_);
@@ -139,10 +147,25 @@
   if (reader_->head().status != 200) return failed("it answered with an error");
   simdjson::dom::element list;
   if (parser_.parse(body_).get(list) != simdjson::SUCCESS || !list.is_object()) return failed("no JSON");
+  if (too_old(list)) return failed("an older version than the one in use");
   asking_ = false;
   take_list(list, false);
   // At once: a watch goes on only if the next call comes within 200 ms.
-  if (watching_ && !asking_) ask(false, kWait);
+  if (watching_ && !asking_) ask(false, watch_wait());
+}
+
+// An agent that has started anew may hold what was long ago. The list in use stays, until it is clear that the older
+// one is all there is.
+bool RouteTable::too_old(simdjson::dom::element list) {
+  std::uint64_t rev = 0;
+  const bool older = options_.pushed && has_rev_ && list.at_key("rev").get(rev) == simdjson::SUCCESS && rev < rev_;
+  if (!older) {
+    old_since_ = 0;
+    return false;
+  }
+  ++counters_.old;
+  if (old_since_ == 0) old_since_ = now_us();
+  return now_us() - old_since_ < options_.bear_old;
 }
 
 void RouteTable::failed(const char* why) {
@@ -153,6 +176,7 @@
   limit_.stop();
   if (stream_) stream_->close();
   asking_ = watching_ = false;
+  if (options_.pushed) return again_.start(kAgentAgain, [this] { watch(); });
   heard_(DirectoryScope::failed, {});  // the module decides when to ask again
 }
 
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -25,6 +25,7 @@
 
 struct DirectoryCounters {
   std::uint64_t calls = 0, failures = 0, changes = 0;
+  std::uint64_t old = 0;  // lists of an older version than the one in use, not taken
   std::uint64_t bad = 0;  // entries without a uid or a good address, or of a uid that the same list has told
 };
 
@@ -33,6 +34,10 @@
   struct Options {
     std::string address;
     std::vector<std::string> zones, kinds;  // as the settings name them
+    // An agent on this machine has the list: asked from the start on, again soon after a failure, and without the
+    // decision module, whose pauses are made for a discovery that all routers share.
+    bool pushed = false;
+    Time bear_old = 10'000'000;  // an agent's older list is not taken before it has given none but such for so long
   };
   using Heard = std::function<void(DirectoryScope, std::span<const ReplicaListing>)>;
 
@@ -70,6 +75,8 @@
   ReplicaId id_of(const std::string& uid);
   void bad_entry(std::string_view kind, const std::string& uid);
   void forget_gone();
+  Time watch_wait() const;
+  bool too_old(simdjson::dom::element list);
 
   Options options_;
   Heard heard_;
@@ -81,9 +88,10 @@
   std::unique_ptr<Stream> stream_;
   std::unique_ptr<http::MessageReader> reader_;
   std::string body_, request_;
-  Timer limit_;
+  Timer limit_, again_;
   simdjson::dom::parser parser_;
   std::uint64_t rev_ = 0;
+  Time old_since_ = 0;  // 0: the latest list was not too old
   bool has_rev_ = false, asking_ = false, watching_ = false;
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -122,7 +122,8 @@
     : config_(config),
       figures_(config.classes),
       names_{config.classes, config.tenants, {}},
-      routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds},
+      routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds,
+               .pushed = !config.settings.directory_must_ask, .bear_old = config.settings.ask_within},
               [this](DirectoryScope scope, std::span<const ReplicaListing> entries) {
                 servers_.routes_changed();
                 if (routes_.size() > 0) life_.listed();
@@ -596,7 +597,7 @@
        << " unclean=" << s.unclean;
   const auto& d = routes_.counters();
   line << " list_calls=" << d.calls << " list_failures=" << d.failures << " list_entries=" << d.changes
-       << " list_bad=" << d.bad;
+       << " list_bad=" << d.bad << " list_old=" << d.old;
   print_models(line);
   line << " phase=" << life::name_of(life_.phase()) << " sends=" << figures_.sends();
   if (door_) line << " calls=" << door_->counters().calls << " bad_calls=" << door_->counters().bad << " silent_calls=" << door_->counters().silent;
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -144,7 +144,7 @@
   config.discovery = list_->address();
   config.added.target_dialect = setup.box_dialect;
   config.added.flow_collector = setup.flow_collector;
-  config.settings = wire::parse_settings(kSettings, 7);
+  config.settings = wire::parse_settings(kSettings + setup.settings, 7);
   config.classes = {"chat", "quick"};
   config.tenants = {"acme"};
   config.zones = {"a"};
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -25,7 +25,8 @@
   std::string box_dialect = "platform";
   Time keepalive = 5'000'000, silence_limit = 3'000'000;
   std::string known_state = "SERVING";
-  std::string ops = {};  // the operators' door
+  std::string ops = {};       // the operators' door
+  std::string settings = {};  // more of them: path=value lines
   std::string flow_collector = {};
   std::size_t most_clients = 0, memory_mb = 192;
   std::vector<std::string> box_models = {};  // as discovery has them; "m" where there is none
