--- a/tests/net/door.cpp
+++ b/tests/net/door.cpp
@@ -148,3 +148,43 @@
     router expect phase=winding-down
   )");
 }
+
+TEST_CASE("bytes from every peer in pieces of any size change nothing") {
+  for (const std::size_t piece : {1, 2, 3, 5, 7, 16, 61, 200}) {
+    INFO("pieces of " << piece);
+    Play play({.boxes = 3, .ops = "127.0.0.1:0", .settings = "registryMode=push\n", .piece = piece});
+    play.run(R"(
+      list expect after=1
+      list send $json({"rev":2,"all":false,"targets":[{"uid":"s-03","state":"DRAINING"}]})
+      list expect after=2
+      client1 send $ask(r1)
+      hop1 expect POST /v1/chat/completions HTTP/1.1\r\n
+      hop1 send $full
+      hop2 expect {"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]}
+      hop2 send $stream$delta(one)
+      client1 expect HTTP/1.1 200 OK\r\n
+      client1 expect $delta(one)
+      hop2 send $delta(two)$done
+      client1 expect $delta(two)
+      client1 expect data: [DONE]\n\n
+      client1 expect \r\n0\r\n\r\n
+      writer1 send $say(r2)
+      hop3 expect X-Request-ID: r2\r\n
+      hop3 send $error
+      hop4 send $stream$delta(three)$done
+      writer1 expect message_start
+      writer1 expect three
+      writer1 expect message_stop
+      call1 send LEAVE\r\n
+      call1 expect +OK drained\n
+      call1 expect close
+      call2 send DUMP\n
+      call2 expect state="answered"} 2\n
+      call2 expect svc_sends_total 4\n
+      call2 expect svc_cluster_size 3\n
+      call2 expect \n.\n
+      router expect list_failures=0
+      router expect spoilt=0
+    )");
+  }
+}
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -127,6 +127,7 @@
 Play::Play(const Setup& setup) {
   const auto saved = net::descriptors();
   net::descriptors().limit = std::max<std::size_t>(saved.limit, 256);
+  piece_ = setup.piece;
   Config& config = config_;
   std::string targets;
   for (int i = 0; i < setup.boxes; ++i) {
@@ -242,7 +243,14 @@
 }
 
 std::string Play::received(const std::string& actor) { return line(actor).got; }
-void Play::send(const std::string& actor, const std::string& bytes) { line(actor).stream->write(bytes); }
+void Play::send(const std::string& actor, const std::string& bytes) {
+  const std::size_t piece = piece_ == 0 ? std::max<std::size_t>(1, bytes.size()) : piece_;
+  for (std::size_t at = 0; at < bytes.size(); at += piece) {
+    line(actor).stream->write(bytes.substr(at, piece));
+    while (piece_ > 0 && g_main_context_iteration(nullptr, FALSE)) {  // the router reads it before the next one comes
+    }
+  }
+}
 
 void Play::expect(const std::string& actor, const std::string& text) {
   if (actor == "router") {
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -27,6 +27,7 @@
   std::string known_state = "SERVING";
   std::string ops = {};       // the operators' door
   std::string settings = {};  // more of them: path=value lines
+  std::size_t piece = 0;      // all that actors send comes in pieces of so many bytes; 0: whole
   std::string flow_collector = {};
   std::size_t most_clients = 0, memory_mb = 192;
   std::vector<std::string> box_models = {};  // as discovery has them; "m" where there is none
@@ -59,6 +60,7 @@
   bool wait_for(const std::function<bool()>& done);
   std::string counters() const;
 
+  std::size_t piece_ = 0;
   std::vector<std::unique_ptr<net::Listener>> boxes_;
   std::unique_ptr<net::Listener> list_, new_list_;
   Config config_;
