--- a/src/keeping/keeper.hpp
+++ b/src/keeping/keeper.hpp
@@ -4,17 +4,11 @@
 #include <functional>
 #include <memory>
 
-#include "keeping/records.hpp"
+#include "keeping/restore.hpp"
 #include "store/writer.hpp"
 
 namespace sprucecourse::keeping {
 
-struct Loaded {
-  std::size_t boxes = 0, sessions = 0, prefixes = 0;
-  std::size_t unreadable = 0;  // records that are sound as bytes and make no sense
-  std::size_t no_room = 0;     // beyond the table's bound now
-};
-
 class Keeper : public affinity::Journal {
  public:
   using NameOf = std::function<std::string(ReplicaId)>;
--- a/src/keeping/learned.cpp
+++ b/src/keeping/learned.cpp
@@ -3,7 +3,7 @@
 #include <msgpack.hpp>
 #include <tuple>
 
-#include "keeping/records.hpp"
+#include "keeping/restore.hpp"
 
 namespace sprucecourse::keeping {
 namespace {
@@ -16,15 +16,6 @@
                           std::vector<BoxRecord>, std::vector<std::pair<std::uint16_t, double>>, std::vector<double>,
                           double, double, Entries, Entries, Entries>;
 
-template <typename Decode, typename Restore>
-void restore_each(const Entries& entries, Decode decode, Restore restore) {
-  for (const auto& [key, bytes] : entries) {
-    const auto number = number_of(key);
-    const auto entry = decode(bytes);
-    if (number && entry) restore(*number, *entry);
-  }
-}
-
 }  // namespace
 
 std::string pass_on(const Learned& learned, const affinity::Beliefs* beliefs) {
@@ -61,12 +52,10 @@
   learned.spill = std::get<6>(record);
   learned.shed = std::get<7>(record);
   if (beliefs == nullptr) return true;
-  for (const auto& [key, entry] : std::get<8>(record)) {
-    if (const auto box = decode_box(key, entry)) beliefs->restore_box(box->slot, box->box);
-  }
-  restore_each(std::get<9>(record), decode_session, [&](auto key, auto& entry) { beliefs->restore_session(key, entry); });
-  restore_each(std::get<10>(record), decode_prefix, [&](auto key, auto& entry) { beliefs->restore_prefix(key, entry); });
-  beliefs->restored(now);
+  restore(*beliefs, now, [&](Place place, const Visit& visit) {
+    const Entries& entries = place == kBoxes ? std::get<8>(record) : place == kSessions ? std::get<9>(record) : std::get<10>(record);
+    for (const auto& [key, bytes_of] : entries) visit(key, bytes_of);
+  });
   return true;
 }
 
--- /dev/null
+++ b/src/keeping/restore.cpp
@@ -0,0 +1,30 @@
+#include "keeping/restore.hpp"
+
+namespace sprucecourse::keeping {
+
+Loaded restore(affinity::Beliefs& beliefs, Time now, const std::function<void(Place, const Visit&)>& each) {
+  Loaded loaded;
+  each(kBoxes, [&](std::string_view key, std::string_view bytes) {
+    const auto kept = decode_box(key, bytes);
+    if (!kept) return void(++loaded.unreadable);
+    ++(beliefs.restore_box(kept->slot, kept->box) ? loaded.boxes : loaded.no_room);
+  });
+  const auto each_entry = [&](Place place, auto decode, auto restore, std::size_t& count) {
+    each(place, [&](std::string_view key, std::string_view bytes) {
+      const auto number = number_of(key);
+      const auto entry = decode(bytes);
+      if (!number || !entry) return void(++loaded.unreadable);
+      ++(restore(*number, *entry) ? count : loaded.no_room);
+    });
+  };
+  each_entry(
+      kSessions, decode_session, [&](auto key, auto& entry) { return beliefs.restore_session(key, entry); },
+      loaded.sessions);
+  each_entry(
+      kPrefixes, decode_prefix, [&](auto key, auto& entry) { return beliefs.restore_prefix(key, entry); },
+      loaded.prefixes);
+  beliefs.restored(now);
+  return loaded;
+}
+
+}  // namespace sprucecourse::keeping
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -75,8 +75,7 @@
   const std::size_t own = kOwnDescriptors + (config.ops.empty() ? 0 : net::Door::kMostCallers + 1);
   net::descriptors().limit = limit - std::min(own, limit / 4);
   // Where operators can replace the process, it takes over from the one that serves at its address.
-  const char* folder = config.ops.empty() ? nullptr : std::getenv("TMPDIR");
-  auto estate = net::inherit(net::handover_path(folder == nullptr ? "" : folder, config.name, config.listen));
+  auto estate = net::inherit(handover_path(config));
   Node node(config, estate ? std::move(*estate) : net::Estate{});
   const std::unique_ptr<GMainLoop, void (*)(GMainLoop*)> loop(g_main_loop_new(nullptr, FALSE),
                                                               g_main_loop_unref);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -82,8 +82,7 @@
   // One that ends its sending behind a line without an end has said all it wants to say.
   void ended() {
     if (answered_ || line_.empty()) return leave();
-    if (line_.back() == '\r') line_.pop_back();
-    call();
+    whole(line_.size());
     limit_.start(0, [this] { leave(); });
   }
 
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -61,7 +61,6 @@
   // Throws NetError if nothing can be hosted there. A file that is left over is removed.
   Host(std::string path, Callbacks callbacks);
   ~Host();
-  bool has_successor() const { return line_ != nullptr; }
 
  private:
   void accepted(Owned<GSocket> socket);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -104,6 +104,11 @@
   return options;
 }
 
+std::string handover_path(const Config& config) {
+  const char* folder = config.ops.empty() ? nullptr : std::getenv("TMPDIR");
+  return net::handover_path(folder == nullptr ? "" : folder, config.name, config.listen);
+}
+
 void check_config(const Config& config) {
   budget_options(config);
   dialect_named(config.added.target_dialect);
@@ -428,13 +433,15 @@
 
 std::string Node::answer_call(std::string_view line) {
   const Time now = net::now_us();
-  const std::string phase = life::name_of(life_.phase());
-  if (line == "HEALTH") return (life_.able(now) ? "+OK " : "-ERR ") + phase + "\n";
+  const auto said = [this](bool yes) {
+    return (yes ? "+OK " : "-ERR ") + std::string(life::name_of(life_.phase())) + "\n";
+  };
+  if (line == "HEALTH") return said(life_.able(now));
   if (line == "DUMP") return "+OK\n" + figures() + ".\n";
   if (line != "LEAVE" && line != "JOIN") return {};
   const bool done = line == "LEAVE" ? life_.leave(now) : life_.join();
   if (done) phase_changed(line == "LEAVE" ? "LEAVE was called" : "JOIN was called");
-  return (done ? "+OK " : "-ERR ") + std::string(life::name_of(life_.phase())) + "\n";
+  return said(done);
 }
 
 void Node::phase_changed(const char* why) {
@@ -520,8 +527,7 @@
 }
 
 void Node::host() {
-  const char* folder = std::getenv("TMPDIR");
-  const std::string path = net::handover_path(folder == nullptr ? "" : folder, config_.name, config_.listen);
+  const std::string path = handover_path(config_);
   if (path.empty()) return;
   try {
     host_ = std::make_unique<net::Host>(
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -46,6 +46,9 @@
 // the settings do not have.
 budgets::Options budget_options(const Config& config);
 
+// Where this router's processes pass on what they have; empty where there is no door, or no folder ($TMPDIR) for it.
+std::string handover_path(const Config& config);
+
 // What reading alone does not show: addresses, dialects, the module's own checks. Throws with one plain line.
 void check_config(const Config& config);
 
@@ -81,7 +84,6 @@
   const core::Exchanges& core() const { return *core_; }
   const net::Clients& front(std::size_t index) const { return *fronts_.at(index); }
   const net::Door* door() const { return door_.get(); }
-  const life::Lifecycle& life() const { return life_; }
   std::size_t targets() const { return routes_.size(); }
   const keeping::Keeper* keeper() const { return keeper_.get(); }
   const affinity::Beliefs* beliefs() const { return beliefs_.get(); }
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -5,7 +5,6 @@
 namespace sprucecourse {
 namespace {
 
-constexpr std::size_t kMostLearned = 512;  // sizes, and prefixes: no more than a router remembers of its own
 constexpr int kMostFailures = 16;          // beyond all that makes an ejection longer
 
 }  // namespace
@@ -43,16 +42,16 @@
   return all;
 }
 
-void Records::learn(const Learned& all) {
+void Records::learn(const Learned& all, const LearnBounds& most) {
   const auto sane = [](double value) { return std::isfinite(value) && value >= 0; };
   const auto part = [&](double value, double otherwise) { return sane(value) && value <= 1 ? value : otherwise; };
   for (const auto& [size, work] : all.sizes) {
-    if (!sane(size) || !sane(work) || work <= 0 || samples_.size() >= kMostLearned) continue;
+    if (!sane(size) || !sane(work) || work <= 0 || samples_.size() >= most.sizes) continue;
     samples_.push_back({size, work});
     next_sample_ = samples_.size();
   }
   for (const auto& [prefix, work] : all.prefixes) {
-    if (!sane(work) || prefix_work_.size() >= kMostLearned || !prefix_work_.try_emplace(prefix, work).second) continue;
+    if (!sane(work) || prefix_work_.size() >= most.prefixes || !prefix_work_.try_emplace(prefix, work).second) continue;
     prefix_total_ += work;
   }
   for (const auto& box : all.boxes) {
@@ -61,12 +60,12 @@
     Replica& r = found->second;
     r.failures = std::clamp(box.failures, 0, kMostFailures);
     r.ejected_until = box.ejected_until;
-    r.pace = std::max(0.01, part(box.pace, 1));
+    r.pace = std::max(most.least_pace, part(box.pace, 1));
   }
-  for (const auto& [kind, pace] : all.paces) pace_[kind] = std::max(0.01, part(pace, 1));
+  for (const auto& [kind, pace] : all.paces) pace_[kind] = std::max(most.least_pace, part(pace, 1));
   if (all.usage.size() == settings_.tenants.size() && std::all_of(all.usage.begin(), all.usage.end(), sane)) usage_ = all.usage;
   spill_ = part(all.spill, 0);
-  shed_ = std::min(0.9, part(all.shed, 0));
+  shed_ = std::min(most.shed, part(all.shed, 0));
   dirty_ = true;
 }
 
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -79,6 +79,12 @@
 // Throws std::invalid_argument where settings make no sense.
 void check_settings(const Settings& settings);
 
+// The module's own bounds of what it remembers: a predecessor's memory keeps to them.
+struct LearnBounds {
+  std::size_t sizes, prefixes;
+  double least_pace, shed;
+};
+
 struct Records {
   explicit Records(const Settings& settings) : settings_(settings), random_(settings.seed) {
     check_settings(settings);
@@ -93,7 +99,7 @@
   }
 
   Learned learned() const;
-  void learn(const Learned& learned);
+  void learn(const Learned& learned, const LearnBounds& most);
 
   // The listed replicas that are left out for what was seen of them.
   std::vector<ReplicaId> left_out(Time now) const {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -703,7 +703,7 @@
   for (const Note& note : state_->notes_.read(now, peer, message)) state_->told(now, note);
 }
 Learned Router::learned() const { return state_->learned(); }
-void Router::learn(const Learned& learned) { state_->learn(learned); }
+void Router::learn(const Learned& all) { state_->learn(all, {kWindow, kMaxPrefixes, kMinPace, kMaxShed}); }
 std::vector<ReplicaId> Router::left_out(Time now) const { return state_->left_out(now); }
 std::vector<Action> Router::take_actions() { return std::exchange(state_->actions_, {}); }
 
