--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,7 +9,8 @@
 
 #include "lab/command.hpp"
 #include "logging/log.hpp"
-#include "node.hpp"
+#include "node/meaning.hpp"
+#include "node/node.hpp"
 #include "tools/models.hpp"
 #include "tools/standins.hpp"
 #include "tools/store.hpp"
--- a/src/models/catalogue.hpp
+++ b/src/models/catalogue.hpp
@@ -72,6 +72,8 @@
   // By name or alias, or else the one that takes any name; 0: there is none.
   Number find(std::string_view name) const;
   const Model& at(Number number) const { return models.at(number - 1u); }
+  // Empty where there is no such number.
+  std::string name_of(Number number) const { return number == 0 || number > models.size() ? std::string() : at(number).name; }
   std::vector<std::string> names() const;
 };
 
--- /dev/null
+++ b/src/node/kept.cpp
@@ -0,0 +1,163 @@
+#include "node/kept.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+#include "logging/log.hpp"
+#include "net/loop.hpp"
+#include "node/meaning.hpp"
+
+namespace sprucecourse {
+namespace {
+
+constexpr std::size_t kStorePart = 16;  // of the memory, for changes on their way to the store
+constexpr std::size_t kMostBoxLines = 64;
+constexpr double kBoundsConfidence = 0.95;  // of a box's hit rate
+
+}  // namespace
+
+Kept::Kept(const Config& config, std::function<std::string(ReplicaId)> uid_of)
+    : config_(config),
+      uid_of_(std::move(uid_of)),
+      beliefs_(config.added.affinity.enabled
+                   ? std::make_unique<affinity::Beliefs>(affinity_options(config), static_cast<affinity::Witness*>(this))
+                   : nullptr) {
+  open_store();
+  open_budgets();
+}
+
+// A store that cannot be opened costs nothing but what it would have kept: the router serves without.
+void Kept::open_store() {
+  const StoreFile& asked = config_.added.store;
+  const bool budgets = !config_.added.budgets.budgets.empty();
+  if (asked.file.empty() || (!beliefs_ && !budgets)) return;
+  try {
+    store::WriterOptions options;
+    options.changes = asked.changes;
+    options.most_waiting = std::max<std::size_t>(options.most_waiting, 2 * asked.changes);
+    options.most_bytes = config_.memory_mb * 1024 * 1024 / kStorePart / 3;
+    keeper_ = std::make_unique<keeping::Keeper>(
+        store::FileOptions{.path = asked.file, .holder = config_.name, .megabytes = asked.megabytes}, options,
+        [this](ReplicaId id) { return uid_of_(id); });
+    if (!keeper_->file().set_aside().empty()) {
+      logging::error("store") << asked.file << " is damaged; set aside as " << keeper_->file().set_aside()
+                              << ", beginning with an empty one";
+    }
+    if (beliefs_) {
+      const auto loaded = keeper_->load(*beliefs_, net::now_us());
+      logging::info("store") << asked.file << " gave " << loaded.sessions << " sessions, " << loaded.prefixes
+                             << " prefixes and " << loaded.boxes << " boxes; " << loaded.unreadable << " unreadable, "
+                             << loaded.no_room << " without room";
+    }
+    tend_store();
+  } catch (const store::StoreError& problem) {
+    keeper_.reset();
+    logging::error("store") << "nothing is kept: " << problem.what();
+  }
+}
+void Kept::open_budgets() {
+  const BudgetsFile& file = config_.added.budgets;
+  if (file.budgets.empty() && !file.fair) return;
+  if (keeper_ && !file.budgets.empty()) {
+    budget_keeper_ = std::make_unique<keeping::BudgetKeeper>(keeper_->file(), keeper_->writer());
+  }
+  treasury_ = std::make_unique<budgets::Treasury>(budget_options(config_), budget_keeper_.get());
+  price();
+  if (file.charges) treasury_->on_charge = [this](const budgets::Charge& charge) { charged(charge); };
+  if (budget_keeper_) {
+    const auto loaded = budget_keeper_->load(treasury_->accounts);
+    logging::info("budgets") << config_.added.store.file << " gave " << loaded.accounts << " accounts; "
+                             << loaded.unreadable << " unreadable";
+  }
+  if (file.fair) {
+    budgets::FairOptions options;
+    for (const auto& tenant : config_.settings.tenants) options.weights.push_back(std::max(1e-6, tenant.share));
+    fair_ = std::make_unique<budgets::FairShare>(options);
+  }
+}
+
+void Kept::charged(const budgets::Charge& c) const {
+  using logging::field;
+  const auto name = [](const std::vector<std::string>& names, std::size_t place) {
+    return place < names.size() ? names[place] : std::to_string(place);
+  };
+  logging::info("charge").with("exchange", c.exchange).with("hop", c.hop + 1)
+      << "member=" << field("member", name(config_.tenants, c.who.member)) << " class="
+      << field("class", name(config_.classes, c.who.cls)) << " model=" << field("model", config_.added.catalogue.name_of(c.who.model))
+      << " target=" << field("target", uid_of_(c.replica)) << " prompt=" << field("prompt", c.prompt)
+      << " kept=" << field("kept", c.kept) << " made=" << field("made", c.made)
+      << " thousandths=" << field("thousandths", c.units) << " by=" << field("by", c.told ? "tally" : "rule");
+}
+
+// Twice within the time in which changes are to be durable: one turn of gathering, one of writing.
+void Kept::tend_store() {
+  const auto half = static_cast<Time>(config_.added.store.sync_s * 1e6 / 2);
+  store_tick_.start(std::max<Time>(half, 1000), [this] {
+    keeper_->writer().hand_over();
+    const auto figures = keeper_->writer().figures();
+    if (figures.failing && !store_failing_) {
+      logging::error("store") << "cannot write, and goes on trying: " << figures.problem;
+    } else if (!figures.failing && store_failing_) {
+      logging::info("store") << "writes again";
+    }
+    store_failing_ = figures.failing;
+    tend_store();
+  });
+}
+
+void Kept::price() {
+  treasury_->prices.clear();
+  for (const auto& model : config_.added.catalogue.models) treasury_->prices.push_back(model.price);
+}
+
+void Kept::budgets_changed(Time now) {
+  treasury_->accounts.change(budget_options(config_), now);
+  price();
+}
+
+bool Kept::save(Time most) {
+  if (budget_keeper_) treasury_->accounts.keep_all(net::now_us());
+  return !keeper_ || keeper_->writer().drain(std::chrono::milliseconds(most / 1000));
+}
+
+void Kept::fleet_lost(Time) {
+  logging::warning("affinity") << "kept copies are gone over the whole fleet: believing none until boxes prove it";
+}
+void Kept::box_lost(Time, ReplicaId box) {
+  logging::warning("affinity") << "kept copies are gone at " << logging::field("target", uid_of_(box)) << ": not believed until it proves it";
+}
+void Kept::box_regained(Time, ReplicaId box) {
+  logging::info("affinity") << "kept copies are found again at " << logging::field("target", uid_of_(box));
+}
+
+void Kept::print_counters(std::ostream& line) const {
+  if (treasury_) {
+    const auto& f = treasury_->accounts.figures();
+    line << " budget_accounts=" << treasury_->accounts.size() << " budget_granted=" << f.granted
+         << " budget_denied=" << f.denied << " budget_behind=" << f.behind << " budget_over_soft=" << f.over_soft
+         << " budget_charges=" << f.charges << " budget_charged=" << f.charged / budgets::kUnitsPerToken
+         << " budget_reserved=" << f.reserved / budgets::kUnitsPerToken << " budget_shared=" << f.shared;
+  }
+}
+
+void Kept::tell_boxes(const std::function<void(const std::string&)>& line) const {
+  if (!beliefs_) return;
+  std::vector<const affinity::Box*> boxes;
+  beliefs_->boxes().for_each([&](affinity::Slot, const affinity::Box& box) { boxes.push_back(&box); });
+  std::stable_sort(boxes.begin(), boxes.end(), [](auto* a, auto* b) {
+    return std::pair(a->standing, a->losses) > std::pair(b->standing, b->losses);
+  });
+  if (boxes.size() > kMostBoxLines) boxes.resize(kMostBoxLines);
+  for (const auto* box : boxes) {
+    const auto [low, high] = box->calibration.bounds(kBoundsConfidence);
+    std::ostringstream text;
+    text << uid_of_(box->id) << (box->standing == affinity::Standing::trusted ? " trusted" : " probing")
+         << " hits=" << box->hits << " misses=" << box->misses << " losses=" << box->losses << " hit_rate="
+         << std::round(low * 1000) / 1000 << ".." << std::round(high * 1000) / 1000
+         << " half_life_tokens=" << static_cast<std::uint64_t>(box->survival.half_life());
+    line(text.str());
+  }
+}
+
+}  // namespace sprucecourse
--- /dev/null
+++ b/src/node/kept.hpp
@@ -0,0 +1,59 @@
+// What a router keeps: beliefs of kept copies, what was used of budgets, and the store that both outlive the process in.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+
+#include "affinity/beliefs.hpp"
+#include "config.hpp"
+#include "keeping/budgets.hpp"
+#include "keeping/keeper.hpp"
+#include "models/pools.hpp"
+#include "net/loop.hpp"
+
+namespace sprucecourse {
+
+class Kept : private affinity::Witness {
+ public:
+  // With all that the store has. `config` is the router's own, and stays where it is.
+  Kept(const Config& config, std::function<std::string(ReplicaId)> uid_of);
+
+  // What is believed is durable on return, or the time is over (microseconds; false). For a planned stop.
+  bool save(Time most);
+  // The configuration's budgets and prices were read again. What was used stays used.
+  void budgets_changed(Time now);
+
+  void print_counters(std::ostream& out) const;
+  // What the affinity table thinks of each box, a line each: those that lost trust first, 64 at the most.
+  void tell_boxes(const std::function<void(const std::string&)>& line) const;
+
+  // None where the operator asks for none.
+  const keeping::Keeper* keeper() const { return keeper_.get(); }
+  affinity::Beliefs* beliefs() const { return beliefs_.get(); }
+  budgets::Treasury* treasury() const { return treasury_.get(); }
+  budgets::FairShare* fair() const { return fair_.get(); }
+
+ private:
+  void open_store();
+  void open_budgets();
+  void tend_store();
+  void price();
+  void charged(const budgets::Charge& charge) const;
+  void fleet_lost(Time now) override;
+  void box_lost(Time now, ReplicaId box) override;
+  void box_regained(Time now, ReplicaId box) override;
+
+  const Config& config_;
+  std::function<std::string(ReplicaId)> uid_of_;
+  std::unique_ptr<keeping::Keeper> keeper_;     // none unless the operator asks for it, or it cannot be opened
+  std::unique_ptr<affinity::Beliefs> beliefs_;  // none unless the operator asks for it
+  std::unique_ptr<keeping::BudgetKeeper> budget_keeper_;
+  std::unique_ptr<budgets::Treasury> treasury_;  // none unless the operator asks for budgets or fair shares
+  std::unique_ptr<budgets::FairShare> fair_;
+  net::Timer store_tick_;
+  bool store_failing_ = false;
+};
+
+}  // namespace sprucecourse
--- /dev/null
+++ b/src/node/meaning.cpp
@@ -0,0 +1,106 @@
+#include "node/meaning.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <map>
+
+#include "net/handover.hpp"
+#include "net/loop.hpp"
+
+namespace sprucecourse {
+namespace {
+
+constexpr std::size_t kAffinityPart = 16;  // of the memory, for the table of kept copies, unless the operator says
+
+}  // namespace
+
+const fronts::Dialect& dialect_named(const std::string& name) {
+  const auto* found = fronts::dialect_named(name);
+  if (found == nullptr) throw BadConfig("operator's file: no such dialect: " + name);
+  return *found;
+}
+
+affinity::Options affinity_options(const Config& config) {
+  static const std::map<std::string, affinity::Eviction> evictions = {
+      {"lru", affinity::Eviction::lru},
+      {"segmented", affinity::Eviction::segmented},
+      {"tinylfu", affinity::Eviction::tinylfu}};
+  const AffinityFile& file = config.added.affinity;
+  affinity::Options options;
+  options.table.entries = file.entries;
+  options.table.bytes = file.bytes > 0 ? file.bytes : config.memory_mb * 1024 * 1024 / kAffinityPart;
+  options.table.eviction = evictions.at(file.eviction);
+  options.table.seed = config.settings.seed;
+  options.most_boxes = file.boxes;
+  options.lifetime = static_cast<Time>(file.lifetime_s * 1e6);
+  options.answers_per_false_alarm = file.answers_per_false_alarm;
+  return options;
+}
+
+budgets::Options budget_options(const Config& config) {
+  using budgets::Span;
+  static const std::map<std::string, Span> spans = {
+      {"second", Span::bucket}, {"minute", Span::minute}, {"hour", Span::hour}, {"day", Span::day}};
+  const BudgetsFile& file = config.added.budgets;
+  budgets::Options options;
+  options.members = config.tenants;
+  options.classes = config.classes;
+  options.models = config.added.catalogue.names();
+  options.part = config.settings.rank + 1;
+  options.parts = std::max(config.settings.group_size, options.part);
+  options.block = file.block;
+  options.soft_worth = file.soft_worth;
+  options.most_accounts = file.accounts;
+  std::string wrong;
+  const auto place = [&](const BudgetEntry& b, const char* key, const std::string& name,
+                         const std::vector<std::string>& names) -> std::uint16_t {
+    if (name == "each") return budgets::kEvery;
+    if (name == "all") return budgets::kAny;
+    const auto at = std::find(names.begin(), names.end(), name);
+    if (at == names.end()) {
+      wrong += (wrong.empty() ? "" : "\n") + config.added.path + ":" + std::to_string(b.line) + ": budget." + key +
+               ": the settings have no '" + name + "'";
+    }
+    return static_cast<std::uint16_t>(at - names.begin());
+  };
+  const auto units = [](double tokens) { return static_cast<budgets::Units>(std::llround(tokens)) * budgets::kUnitsPerToken; };
+  for (const auto& b : file.budgets) {
+    budgets::Budget budget;
+    budget.name = b.name;
+    budget.member = place(b, "member", b.member, config.tenants);
+    budget.cls = place(b, "class", b.cls, config.classes);
+    budget.model = b.model == "each" ? budgets::kEvery
+                   : b.model == "all" ? budgets::kAny
+                                      : config.added.catalogue.find(b.model);
+    budget.hard = b.hard;
+    budget.rule.span = spans.at(b.per);
+    const bool bucket = budget.rule.span == Span::bucket;
+    budget.rule.per_s = bucket ? units(b.tokens) : 0;
+    budget.rule.amount = units(bucket && b.burst > 0 ? b.burst : b.tokens);
+    options.budgets.push_back(std::move(budget));
+  }
+  if (!wrong.empty()) throw BadConfig(wrong);
+  return options;
+}
+
+std::string handover_path(const Config& config) {
+  const char* folder = config.ops.empty() ? nullptr : std::getenv("TMPDIR");
+  return net::handover_path(folder == nullptr ? "" : folder, config.name, config.listen);
+}
+
+void check_config(const Config& config) {
+  budget_options(config);
+  dialect_named(config.added.target_dialect);
+  for (const auto& [uid, name] : config.added.targets) dialect_named(name);
+  for (const auto& [what, address] :
+       {std::pair{"listen", config.listen}, {"discovery", config.discovery}, {"ops", config.ops}}) {
+    const bool none = address.empty() && std::string_view(what) == "ops";
+    if (!none && !net::parse_address(address)) {
+      throw BadConfig(std::string("configuration: ") + what + " is not an address: " + address);
+    }
+  }
+  Router(config.settings, 0);  // the module has its own checks
+}
+
+}  // namespace sprucecourse
--- /dev/null
+++ b/src/node/meaning.hpp
@@ -0,0 +1,28 @@
+// What a configuration means to the parts of a router, and whether it makes sense.
+#pragma once
+
+#include <string>
+
+#include "affinity/beliefs.hpp"
+#include "budgets/accounts.hpp"
+#include "config.hpp"
+#include "fronts/dialect.hpp"
+
+namespace sprucecourse {
+
+// The dialect of that name; throws BadConfig.
+const fronts::Dialect& dialect_named(const std::string& name);
+
+affinity::Options affinity_options(const Config& config);
+
+// Budgets with the numbers of the settings' names in place of the names. Throws BadConfig, a line for each name that
+// the settings do not have.
+budgets::Options budget_options(const Config& config);
+
+// Where this router's processes pass on what they have; empty where there is no door, or no folder ($TMPDIR) for it.
+std::string handover_path(const Config& config);
+
+// What reading alone does not show: addresses, dialects, the module's own checks. Throws with one plain line.
+void check_config(const Config& config);
+
+}  // namespace sprucecourse
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,200 @@
+#include "node/node.hpp"
+
+#include <algorithm>
+
+#include "keeping/learned.hpp"
+#include "logging/log.hpp"
+#include "node/meaning.hpp"
+#include "tracing/trace.hpp"
+
+namespace sprucecourse {
+namespace {
+
+// Parts of the descriptors. What neither has is kept for clients beyond their part, whose requests are read
+// and refused at once: guards against requests that wait unread in the kernel's queue until they are lost.
+constexpr double kClientPart = 0.5;
+constexpr double kEgressPart = 0.42;
+// Parts of the memory: one in so many for the bodies of requests, and for what is on the way to clients.
+constexpr std::size_t kBodyPart = 4, kAnswerPart = 8;
+constexpr std::size_t kLeastOnTheWay = 16 * 1024, kMostOnTheWay = 256 * 1024;
+constexpr Time kCrowdedAbsence = 1'000'000;  // advised when there is no room for a request
+
+}  // namespace
+
+// In a word: what made the module choose this box, as far as it can be told from outside.
+const char* why_chosen(const core::Tally& tally) {
+  const Belief& belief = tally.request.belief;
+  if (tally.hops > 1) return "after-a-failure";
+  return belief.known && belief.replica == tally.last_target ? "kept-prompt" : "size";
+}
+
+Node::Node(const Config& config, net::Estate estate)
+    : config_(config),
+      figures_(config.classes),
+      names_{config.classes, config.tenants, {}},
+      routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds,
+               .pushed = !config.settings.directory_must_ask, .bear_old = config.settings.ask_within},
+              [this](DirectoryScope scope, std::span<const ReplicaListing> entries) {
+                servers_.routes_changed();
+                if (routes_.size() > 0) life_.listed();
+                core_->listed(scope, entries);
+              }),
+      peers_({.listen = config.peer_listen,
+              .all = config.peers_all,
+              .peers = config.peers,
+              .bound = std::move(estate.sockets[config.peer_listen])},
+             [this](std::uint32_t rank, std::span<const std::uint8_t> message) {
+               core_->peer_said(rank, message);
+             }),
+      servers_(server_options(), routes_),
+      flows_(config.added.flow_collector.empty()
+                 ? nullptr
+                 : std::make_unique<net::Flows>(config.added.flow_collector, config.added.flow_domain)),
+      kept_(config_, [this](ReplicaId id) { return uid_of(id); }) {
+  core_ = std::make_unique<core::Exchanges>(
+      config.settings,
+      core::Surroundings{clock_, servers_, routes_, peers_, [this](const core::Tally& tally) { record(tally); },
+                         kept_.beliefs()},
+      tracing::traced(make_decider(), [this](ReplicaId id) { return uid_of(id); }));
+  clock_.wake = [this] { core_->wake(); };
+  servers_.serve(*core_);
+  if (!config_.added.catalogue.empty()) {
+    names_.model = [this](std::string_view name) { return config_.added.catalogue.find(name); };
+  }
+  // Beliefs come before the list, or their boxes would be others. What a store gave stands: it is as new, and holds more.
+  Learned learned;
+  if (!estate.learned.empty() &&
+      !keeping::take_over(estate.learned, net::now_us(), learned, kept_.keeper() != nullptr ? nullptr : kept_.beliefs())) {
+    logging::warning("handover") << "what the predecessor learned cannot be read";
+  }
+  // The predecessor's list is of now; the configuration's may be old.
+  if (const std::string& list = estate.list.empty() ? config.known : estate.list; !list.empty()) {
+    simdjson::dom::parser parser;
+    simdjson::dom::element known;
+    if (parser.parse(list).get(known) == simdjson::SUCCESS) routes_.start_from(known);
+  }
+  core_->learn(learned);
+  if (estate.drained) life_.leave(net::now_us());
+  open_front(config.listen, fronts::platform(), estate);
+  if (!config.added.messages_listen.empty()) open_front(config.added.messages_listen, fronts::messages(), estate);
+  if (config.ops.empty()) return;
+  door_ = std::make_unique<net::Door>(config.ops, [this](std::string_view line) { return answer_call(line); });
+  logging::info("main") << "operators call at " << door_->address();
+  descriptor_limit_ = net::descriptors().limit;
+  if (estate.line) {
+    net::descriptors().limit -= std::min(net::descriptors().limit / 2, estate.held);
+    open_handover(std::move(estate.line));
+  } else {
+    host();
+  }
+}
+
+net::Servers::Options Node::server_options() {
+  net::Servers::Options options;
+  options.keepalive = config_.keepalive;
+  options.dial_limit = config_.dial_limit;
+  options.silence_limit = config_.silence_limit;
+  options.report_names = config_.report_fields;
+  options.most_connections =
+      static_cast<std::size_t>(kEgressPart * static_cast<double>(net::descriptors().limit));
+  options.most_frame = std::clamp(config_.memory_mb * 1024 * 1024 / kAnswerPart / options.most_connections,
+                                  kLeastOnTheWay, kMostOnTheWay);
+  options.sent = [this] { figures_.sent(); };
+  options.dialect = &dialect_named(config_.added.target_dialect);
+  for (const auto& [uid, name] : config_.added.targets) options.by_name[uid] = &dialect_named(name);
+  if (!config_.added.catalogue.empty()) {
+    options.model_name = [this](std::uint16_t number) {
+      const auto& models = config_.added.catalogue.models;
+      const bool as_asked = number > 0 && number <= models.size() && models[number - 1u].any_name;
+      return as_asked ? std::string() : config_.added.catalogue.name_of(number);
+    };
+  }
+  return options;
+}
+
+net::Clients::Options Node::client_options() {
+  net::Clients::Options options;
+  const auto limit = static_cast<double>(net::descriptors().limit);
+  const auto part = [&](double share) {
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share * limit));
+  };
+  options.most_connections = config_.most_clients > 0 ? config_.most_clients : part(kClientPart);
+  options.most_lines = std::max(part(1 - kEgressPart), options.most_connections + 1);
+  const std::size_t memory = config_.memory_mb * 1024 * 1024;
+  options.most_body_bytes = memory / kBodyPart;
+  options.congested =
+      std::clamp(memory / kAnswerPart / options.most_connections, kLeastOnTheWay, kMostOnTheWay);
+  options.crowded_absence =
+      config_.settings.retry_after ? std::min(kCrowdedAbsence, config_.settings.max_retry_after) : 0;
+  options.life = &life_;
+  options.shared = !config_.ops.empty();
+  options.turned_away = [this](std::string_view cls) { figures_.ended(cls, figures::State::deferred); };
+  if (!config_.added.catalogue.empty()) options.model_name = [this](std::uint16_t number) { return config_.added.catalogue.name_of(number); };
+  return options;
+}
+
+void Node::open_front(const std::string& address, const fronts::Dialect& speaks, net::Estate& estate) {
+  auto options = client_options();
+  options.listening = std::move(estate.sockets[address]);
+  options.address = address;
+  options.dialect = &speaks;
+  fronts_.push_back(std::make_unique<net::Clients>(std::move(options), names_, *core_, commons_));
+  logging::info("main") << speaks.name() << " front on " << fronts_.back()->address();
+}
+
+// How operators count an ending; nothing where nobody was left to answer.
+std::optional<figures::State> state_of(core::Ending ending) {
+  switch (ending) {
+    case core::Ending::served: return figures::State::answered;
+    case core::Ending::shed: return figures::State::deferred;
+    case core::Ending::client_gone: return std::nullopt;
+    default: return figures::State::errored;
+  }
+}
+
+void Node::record(const core::Tally& tally) {
+  if (const auto state = state_of(tally.ending)) figures_.ended(tally.request.cls, *state);
+  const bool told = logging::threshold() <= logging::Level::debug;
+  if (!flows_ && !told) return;
+  const net::Route* route = tally.hops == 0 ? nullptr : routes_.find(tally.last_target);
+  if (told && tally.ending == core::Ending::served) {
+    using logging::field;
+    const std::string target = route == nullptr ? "one that has gone" : route->uid;
+    logging::debug("exchange").with("exchange", tally.request.id).with("hop", tally.hops)
+        << "served by " << field("target", target) << ", prompt=" << field("prompt", tally.usage.prompt)
+        << " kept=" << field("kept", tally.usage.kept)
+        << " believed=" << field("believed", static_cast<std::uint64_t>(tally.request.belief.tokens))
+        << " why=" << field("reason", why_chosen(tally));
+  }
+  if (!flows_) return;
+  flows_->add(tally, route == nullptr ? std::string_view() : route->uid);
+}
+
+std::string Node::uid_of(ReplicaId target) const {
+  const net::Route* route = routes_.find(target);
+  return route == nullptr ? std::to_string(target) : route->uid;
+}
+
+std::unique_ptr<core::Decider> Node::make_gated(const Settings& settings, Time now) {
+  auto module = core::make_module(settings, now);
+  if (kept_.treasury() == nullptr) return module;
+  return std::make_unique<budgets::Gate>(std::move(module), *kept_.treasury(), kept_.fair());
+}
+
+std::unique_ptr<core::Decider> Node::make_decider() {
+  const Time now = net::now_us();
+  if (config_.added.catalogue.empty()) return make_gated(config_.settings, now);
+  models::Pools::Options options;
+  options.settings = config_.settings;
+  options.catalogue = config_.added.catalogue;
+  options.names_of = [this](ReplicaId id) {
+    const net::Route* route = routes_.find(id);
+    return route == nullptr ? models::BoxNames{} : models::BoxNames{route->uid, route->model, route->group};
+  };
+  options.make = [this](const Settings& settings, Time then, models::Number) { return make_gated(settings, then); };
+  auto pools = std::make_unique<models::Pools>(std::move(options), now);
+  pools_ = pools.get();
+  return pools;
+}
+
+}  // namespace sprucecourse
--- a/src/node.hpp
+++ b/src/node/node.hpp
@@ -5,12 +5,9 @@
 #include <ostream>
 #include <vector>
 
-#include "affinity/beliefs.hpp"
 #include "config.hpp"
 #include "core/exchanges.hpp"
 #include "figures/figures.hpp"
-#include "keeping/budgets.hpp"
-#include "keeping/keeper.hpp"
 #include "life/lifecycle.hpp"
 #include "models/pools.hpp"
 #include "net/clients.hpp"
@@ -21,6 +18,7 @@
 #include "net/peers.hpp"
 #include "net/route_table.hpp"
 #include "net/servers.hpp"
+#include "node/kept.hpp"
 
 namespace sprucecourse {
 
@@ -37,22 +35,7 @@
   net::Timer timer_;
 };
 
-// The dialect of that name; throws BadConfig.
-const fronts::Dialect& dialect_named(const std::string& name);
-
-affinity::Options affinity_options(const Config& config);
-
-// Budgets with the numbers of the settings' names in place of the names. Throws BadConfig, a line for each name that
-// the settings do not have.
-budgets::Options budget_options(const Config& config);
-
-// Where this router's processes pass on what they have; empty where there is no door, or no folder ($TMPDIR) for it.
-std::string handover_path(const Config& config);
-
-// What reading alone does not show: addresses, dialects, the module's own checks. Throws with one plain line.
-void check_config(const Config& config);
-
-class Node : private affinity::Witness {
+class Node {
  public:
   // Serves from then on, as long as GLib's main loop runs. Throws BadConfig or NetError.
   // With what a predecessor passed on, if there is one.
@@ -68,13 +51,13 @@
   void wind_down();
 
   // What is believed is durable on return, or the time is over (microseconds; false). For a planned stop.
-  bool save(Time most);
+  bool save(Time most) { return kept_.save(most); }
 
   // One line of name=value.
   void print_counters(std::ostream& out) const;
   // What the affinity table thinks of each box, a line each: those that lost trust first, 64 at the most. `line`
   // is called with each.
-  void tell_boxes(const std::function<void(const std::string&)>& line) const;
+  void tell_boxes(const std::function<void(const std::string&)>& line) const { kept_.tell_boxes(line); }
 
   // What the operators' door answers to a line; empty if there is no such call.
   std::string answer_call(std::string_view line);
@@ -85,9 +68,9 @@
   const net::Clients& front(std::size_t index) const { return *fronts_.at(index); }
   const net::Door* door() const { return door_.get(); }
   std::size_t targets() const { return routes_.size(); }
-  const keeping::Keeper* keeper() const { return keeper_.get(); }
-  const affinity::Beliefs* beliefs() const { return beliefs_.get(); }
-  const budgets::Accounts* accounts() const { return treasury_ ? &treasury_->accounts : nullptr; }
+  const keeping::Keeper* keeper() const { return kept_.keeper(); }
+  const affinity::Beliefs* beliefs() const { return kept_.beliefs(); }
+  const budgets::Accounts* accounts() const { return kept_.treasury() ? &kept_.treasury()->accounts : nullptr; }
   const models::Pools* pools() const { return pools_; }
 
  private:
@@ -104,18 +87,10 @@
   void phase_changed(const char* why);
   void watch_quiet();
   std::string uid_of(ReplicaId target) const;
-  void open_store();
-  void open_budgets();
   std::unique_ptr<core::Decider> make_decider();
   std::unique_ptr<core::Decider> make_gated(const Settings& settings, Time now);
-  std::string model_name(std::uint16_t number) const;
-  void charged(const budgets::Charge& charge) const;
   void print_models(std::ostream& out) const;
   void take_models(const Config& config);
-  void tend_store();
-  void fleet_lost(Time now) override;
-  void box_lost(Time now, ReplicaId box) override;
-  void box_regained(Time now, ReplicaId box) override;
 
   Config config_;
   life::Lifecycle life_{net::now_us()};
@@ -126,11 +101,7 @@
   net::Peers peers_;
   net::Servers servers_;
   std::unique_ptr<net::Flows> flows_;  // none unless the operator asks for it
-  std::unique_ptr<keeping::Keeper> keeper_;     // none unless the operator asks for it, or it cannot be opened
-  std::unique_ptr<affinity::Beliefs> beliefs_;  // likewise
-  std::unique_ptr<keeping::BudgetKeeper> budget_keeper_;
-  std::unique_ptr<budgets::Treasury> treasury_;  // none unless the operator asks for budgets or fair shares
-  std::unique_ptr<budgets::FairShare> fair_;
+  Kept kept_;
   models::Pools* pools_ = nullptr;  // the core's decider, where there is a catalogue
   std::unique_ptr<core::Exchanges> core_;
   net::Commons commons_;
@@ -139,10 +110,8 @@
   std::unique_ptr<net::Predecessor> predecessor_;  // while it lives
   std::unique_ptr<net::Host> host_;  // none unless there is a door and a folder
   std::function<void()> done_ = [] {};
-  net::Timer quiet_, store_tick_, serving_;
+  net::Timer quiet_, serving_;
   std::size_t descriptor_limit_ = 0;  // of this process alone
-  bool store_failing_ = false;
-  std::uint64_t store_troubles_ = 0;  // openings that failed, damaged files set aside, and writes that began to fail
   std::uint64_t reloads_ = 0;
   Time quiet_since_ = 0;
 };
--- a/tests/net/config.cpp
+++ b/tests/net/config.cpp
@@ -6,7 +6,8 @@
 #include <cstdlib>
 #include <fstream>
 
-#include "node.hpp"
+#include "node/meaning.hpp"
+#include "node/node.hpp"
 
 using namespace sprucecourse;
 
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "node.hpp"
+#include "node/node.hpp"
 
 namespace sprucecourse::testing {
 
--- a/tests/net/standins.cpp
+++ b/tests/net/standins.cpp
@@ -4,7 +4,7 @@
 #include <fstream>
 
 #include "../store/scratch.hpp"
-#include "node.hpp"
+#include "node/node.hpp"
 #include "standins/installation.hpp"
 #include "standins/load.hpp"
 
