Join the group to the router: datagrams, links, identity of a start, status over a local socket

[group] and [[router]] in the operator's file, off without them. node/others.* joins membership, datagrams (net/datagrams.*, which the peers use too now), kept links with frames in MessagePack (net/links.*), which carry whole views to two neighbours, the file that counts starts (node/identity.*) and a local socket for `thornwick group status` (net/local.*, which the handover uses too now). The door took a listening socket and the names of its calls. Way not taken: one more front over TCP for the status; a file's rights are what is wanted. A process that hands over leaves the group to its successor, and takes it back if that one dies. $THORNWICK_CLOCK names a file that makes a test's clocks wrong, read at one place (loop.cpp); not set, it costs one comparison. The handover's log line "no successor can come" had lost its words in the move; a test of its own told so.

--- /dev/null
+++ b/src/net/datagrams.hpp
@@ -0,0 +1,31 @@
+// A UDP socket: datagrams out, and datagrams in with where they came from. What cannot be sent is lost, as on the way.
+#pragma once
+
+#include <functional>
+#include <span>
+#include <string>
+
+#include "net/loop.hpp"
+
+namespace sprucecourse::net {
+
+class Datagrams {
+ public:
+  using Arrived = std::function<void(GSocketAddress* from, std::span<const std::uint8_t> bytes)>;
+
+  // At `address`, or at a socket that is bound already. Throws NetError.
+  Datagrams(const std::string& address, Owned<GSocket> bound, Arrived arrived);
+  ~Datagrams();
+  void listen(bool on);  // off: what comes waits in the kernel, or is another process's
+  bool send(GSocketAddress* to, const std::string& bytes);
+  GSocket* socket() const { return socket_.get(); }
+
+ private:
+  void readable();
+
+  Arrived arrived_;
+  Owned<GSocket> socket_;
+  Watch watch_;
+};
+
+}  // namespace sprucecourse::net
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -58,14 +58,14 @@
 
   void call() {
     std::string text = owner_.answer_(line_);
-    if (text.empty()) return refuse("the calls are HEALTH, DUMP, LEAVE and JOIN");
+    if (text.empty()) return refuse("the calls are " + owner_.calls_);
     ++owner_.counters_.calls;
     say(std::move(text));
   }
 
-  void refuse(const char* why) {
+  void refuse(const std::string& why) {
     ++owner_.counters_.bad;
-    say(std::string("-ERR ") + why + "\n");
+    say("-ERR " + why + "\n");
   }
 
   void say(std::string text) {
@@ -99,6 +99,11 @@
       address, [] { return true; }, [this](Owned<GSocket> socket) { accepted(std::move(socket)); });
 }
 
+Door::Door(Owned<GSocket> listening, std::string calls, Answer answer) : answer_(std::move(answer)), calls_(std::move(calls)) {
+  listener_ = std::make_unique<Listener>(
+      std::move(listening), [] { return true; }, [this](Owned<GSocket> socket) { accepted(std::move(socket)); });
+}
+
 Door::~Door() = default;
 
 void Door::accepted(Owned<GSocket> socket) {
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -21,6 +21,8 @@
   // `answer` is asked with each whole line, without its end; empty: no such call. Throws NetError if it cannot listen.
   using Answer = std::function<std::string(std::string_view)>;
   Door(const std::string& address, Answer answer);
+  // At a socket that listens already; `calls` are those that whoever calls another one is told of.
+  Door(Owned<GSocket> listening, std::string calls, Answer answer);
   ~Door();
   std::string address() const { return listener_->address(); }
   const DoorCounters& counters() const { return counters_; }
@@ -32,6 +34,7 @@
   void gone(Caller& caller);
 
   Answer answer_;
+  std::string calls_ = "HEALTH, DUMP, LEAVE and JOIN";
   DoorCounters counters_;
   std::list<std::unique_ptr<Caller>> callers_;  // the one that came first is first
   std::unique_ptr<Listener> listener_;
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -3,7 +3,6 @@
 #include <gio/gunixfdmessage.h>
 #include <gio/gunixsocketaddress.h>
 #include <sys/stat.h>
-#include <sys/un.h>
 #include <unistd.h>
 
 #include <array>
@@ -11,6 +10,7 @@
 #include <msgpack.hpp>
 
 #include "logging/log.hpp"
+#include "net/local.hpp"
 
 namespace sprucecourse::net {
 namespace {
@@ -52,8 +52,7 @@
 
 // Guards against another user's process behind the same name: sockets are handed only within one user.
 void check_user(GSocket* socket) {
-  const Owned<GCredentials> theirs(g_socket_get_credentials(socket, nullptr));
-  if (!theirs || g_credentials_get_unix_user(theirs.get(), nullptr) != geteuid()) throw Refused("it is another user's");
+  if (!same_user(socket)) throw Refused("it is another user's");
 }
 
 // The head comes with the descriptors.
@@ -140,7 +139,7 @@
   std::array<char, 32> text;
   std::snprintf(text.data(), text.size(), "/thornwick-%016llx", static_cast<unsigned long long>(hash));
   const std::string path = folder + text.data();
-  return path.size() < sizeof(sockaddr_un::sun_path) ? path : std::string();
+  return fits_local(path) ? path : std::string();
 }
 
 std::optional<Estate> inherit(const std::string& path) {
@@ -201,15 +200,12 @@
 }
 
 void Host::open() {
-  unlink(path_.c_str());
-  const Owned<GSocketAddress> address(g_unix_socket_address_new(path_.c_str()));
-  GError* error = nullptr;
-  Owned<GSocket> socket(
-      g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_DEFAULT, &error));
-  if (!socket || !g_socket_bind(socket.get(), address.get(), FALSE, &error) || !g_socket_listen(socket.get(), &error)) {
-    throw NetError("no successor can come to " + path_ + ": " + text_of(error));
+  Owned<GSocket> socket;
+  try {
+    socket = listen_local(path_);
+  } catch (const NetError& problem) {
+    throw NetError(std::string("no successor can come: ") + problem.what());
   }
-  chmod(path_.c_str(), S_IRUSR | S_IWUSR);
   listener_ = std::make_unique<Listener>(
       std::move(socket), [] { return true; }, [this](Owned<GSocket> come) { accepted(std::move(come)); });
 }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,8 @@
 #include <cerrno>
 #include <charconv>
 #include <chrono>
+#include <cstdlib>
+#include <fstream>
 #include <utility>
 
 #include "logging/log.hpp"
@@ -41,13 +43,42 @@
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
 
+// The one place at which a test makes this process's clocks wrong: the file that $THORNWICK_CLOCK names has "MS RATE", how
+// far the system's clock is ahead (read each time, so that it can step) and how fast every clock runs (read once). Not
+// set, nothing is changed.
+struct Skew {
+  Time ahead = 0;
+  double rate = 1;
+};
+Skew read_skew() {
+  static const char* const path = std::getenv("THORNWICK_CLOCK");
+  Skew wrong;
+  if (path == nullptr) return wrong;
+  double ms = 0, rate = 0;
+  std::ifstream(path) >> ms >> rate;
+  wrong.ahead = static_cast<Time>(1000 * ms);
+  if (rate > 0) wrong.rate = rate;
+  return wrong;
+}
+
+double clock_rate() {
+  static const double rate = read_skew().rate;
+  return rate;
+}
+
 }  // namespace
 
+Time wall_us() {
+  using namespace std::chrono;
+  return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count() + read_skew().ahead;
+}
+
 Time now_us() {
   using namespace std::chrono;
-  static const auto real = duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
+  static const auto real = wall_us();
   static const auto start = steady_clock::now();
-  return real + duration_cast<microseconds>(steady_clock::now() - start).count();
+  const auto passed = duration_cast<microseconds>(steady_clock::now() - start).count();
+  return real + (clock_rate() == 1 ? passed : static_cast<Time>(static_cast<double>(passed) * clock_rate()));
 }
 
 Descriptors& descriptors() {
@@ -118,6 +149,7 @@
 void Timer::start(Time delay, std::function<void()> then) {
   stop();
   then_ = std::move(then);
+  if (clock_rate() != 1) delay = static_cast<Time>(static_cast<double>(delay) / clock_rate());
   at_ = Timers::all().add(g_get_monotonic_time() + std::max<Time>(0, delay), this);
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -35,6 +35,8 @@
 // One clock for all: the real time at the start plus what the monotonic clock has advanced since, so that
 // `boot_ms` compares and steps of the system's clock change nothing.
 Time now_us();
+// The system's clock: what now_us() began from. Microseconds since 1970.
+Time wall_us();
 
 // A one-shot timer; stops when destroyed. All timers share one source of the main loop.
 class Timer {
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/exchanges.hpp"
-#include "net/loop.hpp"
+#include "net/datagrams.hpp"
 
 namespace sprucecourse::net {
 
@@ -19,20 +19,18 @@
 
   // Without an address to listen on there are no peers. Throws NetError if it cannot listen.
   Peers(Options options, Said said);
-  ~Peers() override;
   void tell(std::uint32_t rank, const std::string& message) override;
   void listen(bool on);  // off: what comes is another process's
-  GSocket* socket() const { return socket_.get(); }  // none: there are no peers
+  GSocket* socket() const { return socket_ ? socket_->socket() : nullptr; }  // none: there are no peers
 
  private:
-  void readable();
+  void arrived(GSocketAddress* from, std::span<const std::uint8_t> bytes);
 
   Said said_;
   std::vector<std::string> names_;
   std::vector<Owned<GSocketAddress>> addresses_;
   Owned<GSocketAddress> all_;
-  Owned<GSocket> socket_;
-  Watch watch_;
+  std::unique_ptr<Datagrams> socket_;
 };
 
 }  // namespace sprucecourse::net
--- a/src/node/meaning.hpp
+++ b/src/node/meaning.hpp
@@ -1,12 +1,14 @@
 // What a configuration means to the parts of a router, and whether it makes sense.
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include "affinity/beliefs.hpp"
 #include "budgets/accounts.hpp"
 #include "config.hpp"
 #include "fronts/dialect.hpp"
+#include "membership/roster.hpp"
 
 namespace sprucecourse {
 
@@ -19,6 +21,14 @@
 // the settings do not have.
 budgets::Options budget_options(const Config& config);
 
+// The group's routers, and this router's place among them. Throws BadConfig, a line for each thing that is wrong: its own
+// name is absent, an address is none.
+struct Membership {
+  std::shared_ptr<const membership::Roster> roster;
+  std::size_t self = 0;
+};
+Membership membership_of(const Config& config);
+
 // Where this router's processes pass on what they have; empty where there is no door, or no folder ($TMPDIR) for it.
 std::string handover_path(const Config& config);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,6 +77,7 @@
   if (estate.drained) life_.leave(net::now_us());
   open_front(config.listen, fronts::platform(), estate);
   if (!config.added.messages_listen.empty()) open_front(config.added.messages_listen, fronts::messages(), estate);
+  if (!estate.line) open_group();
   if (config.ops.empty()) return;
   door_ = std::make_unique<net::Door>(config.ops, [this](std::string_view line) { return answer_call(line); });
   logging::info("main") << "operators call at " << door_->address();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -19,6 +19,7 @@
 #include "net/route_table.hpp"
 #include "net/servers.hpp"
 #include "node/kept.hpp"
+#include "node/others.hpp"
 
 namespace sprucecourse {
 
@@ -71,6 +72,7 @@
   const keeping::Keeper* keeper() const { return kept_.keeper(); }
   const affinity::Beliefs* beliefs() const { return kept_.beliefs(); }
   const budgets::Accounts* accounts() const { return kept_.treasury() ? &kept_.treasury()->accounts : nullptr; }
+  const Others* others() const { return others_.get(); }
   const models::Pools* pools() const { return pools_; }
 
  private:
@@ -79,6 +81,7 @@
   void open_front(const std::string& address, const fronts::Dialect& speaks, net::Estate& estate);
   void open_handover(net::Owned<GSocket> line);
   void host();
+  void open_group();
   net::Estate offer();
   void handed_over();
   void taken_back();
@@ -107,6 +110,7 @@
   net::Commons commons_;
   std::vector<std::unique_ptr<net::Clients>> fronts_;
   std::unique_ptr<net::Door> door_;  // none unless the configuration names an address
+  std::unique_ptr<Others> others_;   // none unless the operator's file has a group, or while another process has the name
   std::unique_ptr<net::Predecessor> predecessor_;  // while it lives
   std::unique_ptr<net::Host> host_;  // none unless there is a door and a folder
   std::function<void()> done_ = [] {};
--- a/src/node/operators.cpp
+++ b/src/node/operators.cpp
@@ -64,6 +64,7 @@
 void Node::wind_down() {
   quiet_since_ = net::now_us();
   life_.terminate(quiet_since_);
+  if (others_) others_->leave();
   phase_changed("the process is to end");
   watch_quiet();
 }
--- a/src/node/succession.cpp
+++ b/src/node/succession.cpp
@@ -19,12 +19,14 @@
   const auto alone = [this] {
     net::descriptors().limit = descriptor_limit_;
     predecessor_.reset();
+    open_group();
     if (!host_) host();
   };
   predecessor_ = std::make_unique<net::Predecessor>(
       std::move(line), net::Predecessor::Callbacks{.yielded =
                                                        [this](bool drained) {
                                                          if (drained && life_.leave(net::now_us())) phase_changed("the predecessor was drained");
+                                                         open_group();
                                                          if (!host_) host();
                                                        },
                                                    .gone = [this, alone] {
@@ -58,6 +60,17 @@
   }
 }
 
+// One process speaks under the router's name: this one, while no other serves in its place.
+void Node::open_group() {
+  if (config_.added.group.name.empty() || others_) return;
+  try {
+    others_ = std::make_unique<Others>(config_);
+  } catch (const net::NetError& problem) {
+    if (!predecessor_ && !host_) throw;  // at the start it is an error; later the router serves on without
+    logging::error("group") << "this router is not in its group: " << problem.what();
+  }
+}
+
 // Both processes together may hold what one may: this one keeps what it holds and a little for what it finishes.
 net::Estate Node::offer() {
   net::Estate estate;
@@ -78,6 +91,7 @@
 void Node::handed_over() {
   life_.hand_over(net::now_us());
   if (predecessor_) predecessor_->passed_on();
+  others_.reset();  // its addresses are the successor's from now on
   peers_.listen(false);
   phase_changed("a successor serves");
   quiet_since_ = net::now_us();
@@ -90,6 +104,7 @@
   if (!handed) return;
   life_.take_back();
   peers_.listen(true);
+  open_group();
   quiet_since_ = net::now_us();
   if (life_.phase() != life::Phase::winding_down) quiet_.stop();
   phase_changed("the successor is gone");
--- a/src/operator_file.cpp
+++ b/src/operator_file.cpp
@@ -1,5 +1,6 @@
 #include "operator_file.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <set>
@@ -124,6 +125,38 @@
   }
 }
 
+void read_group(Root& all, GroupFile& file, Problems& problems) {
+  const auto* table = all.table("group");
+  const auto routers = all.tables("router");
+  Section group(table, "group", problems);
+  file.line = group.line();
+  group.text("name", file.name);
+  group.list("sites", file.sites);
+  group.text("self", file.self);
+  group.text("listen", file.listen);
+  group.text("state", file.state);
+  group.text("status", file.status);
+  group.number("period_s", file.period_s, 0.05, 60);
+  group.flag("links", file.links);
+  for (const auto* one : routers) {
+    Section section(one, "router", problems);
+    auto& router = file.routers.emplace_back();
+    router.line = section.line();
+    section.text("name", router.name);
+    section.text("site", router.site);
+    section.text("address", router.address);
+    section.one_of("role", router.role, {"router", "holder"});
+  }
+  if (table == nullptr) {
+    if (!routers.empty()) problems.push_back({file.routers.front().line, "router: there is no [group] that it belongs to"});
+    return;
+  }
+  if (file.name.empty()) group.refuse("name", "there has to be one");
+  for (auto& fault : membership::faults_of(file.sites, file.routers, file.line)) problems.push_back({fault.line, std::move(fault.text)});
+  const bool named = std::any_of(file.routers.begin(), file.routers.end(), [&](const auto& r) { return r.name == file.self; });
+  if (!file.self.empty() && !named) group.refuse("self", "no router is called '" + file.self + "'");
+}
+
 void read_sections(const toml::table& root, OperatorFile& file, Problems& problems) {
   Root all(root, problems);
   {
@@ -159,6 +192,7 @@
   }
   read_catalogue(all, file.catalogue, problems);
   read_budgets(all, file.budgets, file.catalogue, problems);
+  read_group(all, file.group, problems);
 }
 
 }  // namespace
@@ -167,7 +201,7 @@
   return messages_listen == o.messages_listen && target_dialect == o.target_dialect && targets == o.targets &&
          flow_collector == o.flow_collector && flow_domain == o.flow_domain && affinity == o.affinity &&
          store == o.store && catalogue.empty() == o.catalogue.empty() && budgets.fair == o.budgets.fair &&
-         budgets.budgets.empty() == o.budgets.budgets.empty();
+         budgets.budgets.empty() == o.budgets.budgets.empty() && group == o.group;
 }
 
 OperatorFile read_operator_file(const std::string& path) {
--- a/src/operator_file.hpp
+++ b/src/operator_file.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "membership/roster.hpp"
 #include "models/catalogue.hpp"
 
 namespace sprucecourse {
@@ -60,6 +61,22 @@
   bool operator==(const BudgetsFile&) const = default;
 };
 
+// [group] and [[router]]: the routers that know of each other (docs/group.md).
+struct GroupFile {
+  std::string name;                // of the group; empty: there is none
+  std::vector<std::string> sites;
+  std::string self;                // this router's name in the list; empty: the configuration's
+  std::string listen;              // empty: at this router's own address of the list
+  std::string state;               // a file that outlives the process: which start of which disk it is; empty: every start is empty
+  std::string status;              // a local socket for `thornwick group status`; empty: none
+  double period_s = 2.4;           // between two probes
+  bool links = true;               // whole views over kept connections to two neighbours
+  std::vector<membership::RouterEntry> routers;
+  std::uint32_t line = 0;
+
+  bool operator==(const GroupFile&) const = default;
+};
+
 struct OperatorFile {
   std::string messages_listen;                 // empty: no second front
   std::string target_dialect = "platform";     // of egress targets that are not named
@@ -70,6 +87,7 @@
   StoreFile store;
   models::Catalogue catalogue;
   BudgetsFile budgets;
+  GroupFile group;
   std::string path;  // of the file itself, for what is found wrong later
 
   // All that only a restart can change.
