Test the group as processes with faults between them, and give each datagram address to one process

Cause: g_socket_bind with reuse sets SO_REUSEPORT on datagrams, so a second socket at the same port was no error and the kernel dealt out what came between both (datagrams.cpp, bound_to). Two routers with one address would have shared it silently; now the second one does not start. The peers' socket of the platform keeps its way. Ruled out: the wire's faults (none were set), a wrong address in the file (read back).

--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -7,13 +7,13 @@
 
 constexpr int kReadsAtOnce = 256;  // guards the loop's other work against a flood
 
-Owned<GSocket> bound_to(const std::string& address) {
+Owned<GSocket> bound_to(const std::string& address, bool shared) {
   const auto own = parse_address(address);
   if (!own) throw NetError("not an address: " + address);
   GError* error = nullptr;
   Owned<GSocket> socket(g_socket_new(g_socket_address_get_family(own.get()), G_SOCKET_TYPE_DATAGRAM,
                                      G_SOCKET_PROTOCOL_UDP, &error));
-  if (!socket || !g_socket_bind(socket.get(), own.get(), TRUE, &error)) {
+  if (!socket || !g_socket_bind(socket.get(), own.get(), shared, &error)) {
     const std::string why = error->message;
     g_error_free(error);
     throw NetError("cannot listen on " + address + ": " + why);
@@ -23,8 +23,8 @@
 
 }  // namespace
 
-Datagrams::Datagrams(const std::string& address, Owned<GSocket> bound, Arrived arrived)
-    : arrived_(std::move(arrived)), socket_(bound ? std::move(bound) : bound_to(address)) {
+Datagrams::Datagrams(const std::string& address, Owned<GSocket> bound, Arrived arrived, bool shared)
+    : arrived_(std::move(arrived)), socket_(bound ? std::move(bound) : bound_to(address, shared)) {
   g_socket_set_blocking(socket_.get(), FALSE);
   ++descriptors().held;
   listen(true);
--- a/src/net/datagrams.hpp
+++ b/src/net/datagrams.hpp
@@ -13,8 +13,9 @@
  public:
   using Arrived = std::function<void(GSocketAddress* from, std::span<const std::uint8_t> bytes)>;
 
-  // At `address`, or at a socket that is bound already. Throws NetError.
-  Datagrams(const std::string& address, Owned<GSocket> bound, Arrived arrived);
+  // At `address`, or at a socket that is bound already. `shared`: another socket of this user may be bound there too, and
+  // the kernel deals out what comes; else that is an error. Throws NetError.
+  Datagrams(const std::string& address, Owned<GSocket> bound, Arrived arrived, bool shared = false);
   ~Datagrams();
   void listen(bool on);  // off: what comes waits in the kernel, or is another process's
   bool send(GSocketAddress* to, const std::string& bytes);
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -12,7 +12,7 @@
   all_ = parse_address(options.all);
   try {
     socket_ = std::make_unique<Datagrams>(options.listen, std::move(options.bound),
-                                          [this](GSocketAddress* from, auto bytes) { arrived(from, bytes); });
+                                          [this](GSocketAddress* from, auto bytes) { arrived(from, bytes); }, true);
   } catch (const NetError& problem) {
     throw NetError(std::string("peers: ") + problem.what());
   }
--- a/src/standins/installation.cpp
+++ b/src/standins/installation.cpp
@@ -305,6 +305,21 @@
   changed();
 }
 
+void Installation::stop_box(std::size_t box) {
+  boxes_.at(box)->stop();
+  changed_in(notice_s_);
+}
+
+void Installation::start_box(std::size_t box) {
+  boxes_.at(box)->start();
+  changed_in(add_s_);
+}
+
+void Installation::changed_in(double seconds) {
+  timers_.push_back(std::make_unique<net::Timer>());
+  timers_.back()->start(static_cast<Time>(1e6 * seconds), [this] { changed(); });
+}
+
 void Installation::changed() {
   ++revision_;
   for (auto& watcher : std::exchange(watchers_, {})) {
@@ -386,8 +401,7 @@
     if (kind == emulator::TroubleKind::flush) box->void_kept(sizes_[index]);
     if (kind != emulator::TroubleKind::hall_lost || box->drawn().hall != halls_[index]) continue;
     box->stop();
-    timers_.push_back(std::make_unique<net::Timer>());
-    timers_.back()->start(static_cast<Time>(1e6 * notice_s_), [this] { changed(); });
+    changed_in(notice_s_);
   }
 }
 
@@ -397,8 +411,7 @@
     if (kind == emulator::TroubleKind::slow) box->pace *= sizes_[index], box->set_pace();
     if (kind != emulator::TroubleKind::hall_lost || box->drawn().hall != halls_[index]) continue;
     box->start();
-    timers_.push_back(std::make_unique<net::Timer>());
-    timers_.back()->start(static_cast<Time>(1e6 * add_s_), [this] { changed(); });
+    changed_in(add_s_);
   }
 }
 
--- a/src/standins/installation.hpp
+++ b/src/standins/installation.hpp
@@ -42,6 +42,9 @@
   const Figures& figures() const { return figures_; }
   // The list says from now on that this box drains, or no longer.
   void drain(std::size_t box, bool on);
+  // A box's process dies, or starts again; the list says so a moment later.
+  void stop_box(std::size_t box);
+  void start_box(std::size_t box);
   // Troubles of the scenario begin at their times from here on.
   void begin();
 
@@ -55,6 +58,7 @@
   void answer(Server::Line& line);
   std::string entry(const RealBox& box) const;
   void changed();
+  void changed_in(double seconds);
   void begin_trouble(std::size_t index);
   void end_trouble(std::size_t index);
 
--- a/src/standins/rig.cpp
+++ b/src/standins/rig.cpp
@@ -283,6 +283,16 @@
   write_file(routers_[router].folder + "/clock", fmt::format("{} {}\n", ahead_ms, rate));
 }
 
+void Rig::stop_box(std::size_t box) {
+  if (box >= installation_->boxes().size()) return;
+  box_deaths_.push_back(net::now_us());
+  installation_->stop_box(box);
+}
+
+void Rig::start_box(std::size_t box) {
+  if (box < installation_->boxes().size()) installation_->start_box(box);
+}
+
 void Rig::start_twin(std::size_t router) {
   const std::string folder = routers_[router].folder + "/twin";
   std::filesystem::create_directories(folder);
@@ -425,6 +435,8 @@
 
 // No answer is owed of a process that was killed, stopped or not there at some time between question and answer.
 bool Rig::excused(const Entry& entry) const {
+  const auto died_meanwhile = [&](Time death) { return death >= entry.asked && death <= entry.ended; };
+  if (entry.outcome == Outcome::broken && std::any_of(box_deaths_.begin(), box_deaths_.end(), died_meanwhile)) return true;
   for (const auto& [from, to] : routers_[entry.router].away) {
     if (entry.asked < (to == 0 ? entry.ended : to) + kExcuse && entry.ended > from - kExcuse) return true;
   }
--- a/src/standins/rig.hpp
+++ b/src/standins/rig.hpp
@@ -55,6 +55,9 @@
   void go(std::size_t router);    // SIGCONT
   void end(std::size_t router);   // SIGTERM
   void set_clock(std::size_t router, double ahead_ms, double rate);  // the rate from its next start on
+  // A box's process dies, or starts again. An answer that had begun on it ends with it, and no other may take its place.
+  void stop_box(std::size_t box);
+  void start_box(std::size_t box);
   // A second process under this router's name, that the others are not told of but that can reach them.
   void start_twin(std::size_t router);
 
@@ -131,6 +134,7 @@
   std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<Wire>> wires_;  // the lower number is "the one"
   std::vector<GSubprocess*> twins_;
   std::map<std::string, std::size_t> attempts_;  // of each request, as the boxes counted them
+  std::vector<Time> box_deaths_;
   bool news_ = true;  // something happened that may make a wait's condition hold
   std::size_t late_to_draining_ = 0;
   std::size_t allowed_attempts_ = 1;
--- a/src/standins/rig_script.cpp
+++ b/src/standins/rig_script.cpp
@@ -16,7 +16,7 @@
 constexpr double kMostSeconds = 36'000;
 
 const std::vector<std::string> kKinds = {"kill",       "start", "stop",    "go",   "end",    "clock",  "network", "half-close",
-                                         "reset", "isolate", "join", "halves", "bridge", "flap",    "drain", "heal"};
+                                         "reset", "isolate", "join", "halves", "bridge", "flap",    "drain", "box", "heal"};
 const std::vector<std::string> kDisks = {"kept", "empty", "older", "full"};
 
 template <typename Kind>
@@ -45,7 +45,8 @@
   section.one_of("disk", disk, kDisks);
   fault.kind = named<RigFaultKind>(kKinds, kind);
   fault.disk = named<DiskState>(kDisks, disk);
-  const std::size_t most = fault.kind == RigFaultKind::drain ? 1'000 : script.routers;
+  const bool boxes = fault.kind == RigFaultKind::drain || fault.kind == RigFaultKind::box;
+  const std::size_t most = boxes ? 1'000 : script.routers;
   read_routers(section, "routers", most, fault.from);
   read_routers(section, "to", most, fault.to);
   section.flag("both", fault.both);
@@ -96,7 +97,7 @@
     }
     rig_.run_for(static_cast<Time>(1e6 * script_.seconds));
     timers_.clear();
-    for (std::size_t b = 0; b < rig_.boxes().boxes().size(); ++b) rig_.boxes().drain(b, false);
+    for (std::size_t b = 0; b < rig_.boxes().boxes().size(); ++b) rig_.boxes().drain(b, false), rig_.start_box(b);
     return rig_.settle();
   }
 
@@ -147,6 +148,11 @@
         return later(f.seconds, [this, &f] {
           for (const auto box : f.from) drain(box, false);
         });
+      case RigFaultKind::box:
+        for (const auto box : f.from) rig_.stop_box(box);
+        return later(f.seconds, [this, &f] {
+          for (const auto box : f.from) rig_.start_box(box);
+        });
       case RigFaultKind::heal: return rig_.heal();
     }
   }
@@ -250,7 +256,7 @@
     f.wire.cut = chance.happens(0.2), f.wire.hold = chance.happens(0.1);
     f.ahead_ms = chance.between(-1e7, 1e7);
     f.rate = chance.between(0.99, 1.01);
-    if (f.kind == RigFaultKind::drain) f.from = {chance.below(3)};
+    if (f.kind == RigFaultKind::drain || f.kind == RigFaultKind::box) f.from = {chance.below(3)};
     if (f.kind == RigFaultKind::start) f.kind = RigFaultKind::kill;  // those that start have died before
     if (f.kind == RigFaultKind::kill || f.kind == RigFaultKind::end) {
       RigFault back = f;
--- a/src/standins/rig_script.hpp
+++ b/src/standins/rig_script.hpp
@@ -8,16 +8,16 @@
 
 namespace sprucecourse::standins {
 
-enum class RigFaultKind { kill, start, stop, go, end, clock, network, half_close, reset, isolate, join, halves, bridge, flap, drain, heal };
+enum class RigFaultKind { kill, start, stop, go, end, clock, network, half_close, reset, isolate, join, halves, bridge, flap, drain, box, heal };
 
 struct RigFault {
   double at_s = 0;
   RigFaultKind kind = RigFaultKind::heal;
-  std::vector<std::size_t> from, to;  // routers, or boxes for `drain`; `to` empty: all others
+  std::vector<std::size_t> from, to;  // routers, or boxes for `drain` and `box`; `to` empty: all others
   bool both = false;                  // ways
   DiskState disk = DiskState::kept;
   WireFaults wire;
-  double seconds = 0;                 // stop, isolate, halves, bridge, flap, drain: until it is over by itself; 0: it is not
+  double seconds = 0;                 // stop, isolate, halves, bridge, flap, drain, box: until it is over by itself; 0: it is not
   double ahead_ms = 0, rate = 1;      // clock
 };
 
