--- a/src/standins/rig.cpp
+++ b/src/standins/rig.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
@@ -21,6 +22,7 @@
 constexpr Time kEnds = 30'000'000;         // after SIGTERM
 constexpr Time kExcuse = 400'000;          // around a fault of a process: what was on its way then
 constexpr Time kDrainSlack = 500'000;      // news that a box drains are on their way for as long
+constexpr const char* kSlowDiskMs = "500";
 constexpr const char* kLoopback = "127.0.0.1:0";
 
 void write_file(const std::string& path, const std::string& text) {
@@ -44,7 +46,7 @@
 }  // namespace
 
 const char* name_of(DiskState disk) {
-  static constexpr const char* names[] = {"kept", "empty", "older", "full"};
+  static constexpr const char* names[] = {"kept", "empty", "older", "full", "slow"};
   return names[static_cast<int>(disk)];
 }
 
@@ -103,6 +105,7 @@
   Json config = Json::parse(installation_->router_config());
   config["name"] = name(router);
   config["listen"] = kLoopback;
+  if (options_.door) config["ops"] = kLoopback;
   write_file(folder + "/config.json", config.dump(1));
   std::string file = options_.more;
   if (options_.group) {
@@ -136,20 +139,26 @@
   }
   write_files(router);
   say(fmt::format("{} starts, disk {}", name(router), name_of(disk)));
-  spawn(router, disk == DiskState::full);
+  spawn(router, disk);
 }
 
-void Rig::spawn(std::size_t router, bool full_disk) {
+void Rig::spawn(std::size_t router, DiskState disk) {
   Router& r = routers_[router];
   GSubprocessLauncher* launcher = g_subprocess_launcher_new(static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDERR_PIPE | G_SUBPROCESS_FLAGS_STDOUT_SILENCE));
   g_subprocess_launcher_set_child_setup(launcher, die_with_parent, nullptr, nullptr);
   g_subprocess_launcher_setenv(launcher, "TMPDIR", r.folder.c_str(), TRUE);
   if (std::filesystem::exists(r.folder + "/clock")) g_subprocess_launcher_setenv(launcher, "THORNWICK_CLOCK", (r.folder + "/clock").c_str(), TRUE);
+  if (disk == DiskState::slow) {
+    const auto library = std::filesystem::path(options_.program).parent_path() / "src/standins/libthornwick_slow_disk.so";
+    g_subprocess_launcher_setenv(launcher, "LD_PRELOAD", library.c_str(), TRUE);
+    g_subprocess_launcher_setenv(launcher, "THORNWICK_SLOW_DISK_MS", kSlowDiskMs, TRUE);
+    g_subprocess_launcher_setenv(launcher, "ASAN_OPTIONS", "verify_asan_link_order=0", TRUE);
+  }
   const std::string config = r.folder + "/config.json", file = r.folder + "/operator.toml";
   std::vector<const char*> words = {options_.program.c_str(), "--config", config.c_str(), "--operator", file.c_str(), "serve", nullptr};
   // No file can grow: what a full disk is to a process.
   const std::vector<const char*> full = {"/bin/sh", "-c", "trap '' XFSZ; ulimit -f 0; exec \"$@\"", "sh"};
-  if (full_disk) words.insert(words.begin(), full.begin(), full.end());
+  if (disk == DiskState::full) words.insert(words.begin(), full.begin(), full.end());
   GError* error = nullptr;
   r.process = g_subprocess_launcher_spawnv(launcher, words.data(), &error);
   g_object_unref(launcher);
@@ -163,7 +172,7 @@
   r.front.clear(), r.datagrams.clear(), r.links.clear();
   ++r.starts;
   r.lines = g_data_input_stream_new(g_subprocess_get_stderr_pipe(r.process));
-  read_line(router);
+  read_line(router, r.lines);
   g_subprocess_wait_async(
       r.process, nullptr,
       [](GObject*, GAsyncResult*, gpointer data) {
@@ -173,9 +182,9 @@
       new Running{this, router, r.process});
 }
 
-void Rig::read_line(std::size_t router) {
+void Rig::read_line(std::size_t router, GDataInputStream* lines) {
   g_data_input_stream_read_line_async(
-      routers_[router].lines, G_PRIORITY_DEFAULT, nullptr,
+      lines, G_PRIORITY_DEFAULT, nullptr,
       [](GObject* stream, GAsyncResult* result, gpointer data) {
         const std::unique_ptr<Running> running(static_cast<Running*>(data));
         char* text = g_data_input_stream_read_line_finish(G_DATA_INPUT_STREAM(stream), result, nullptr, nullptr);
@@ -187,7 +196,7 @@
         }
         running->rig->said(running->router, text);
         g_free(text);
-        running->rig->read_line(running->router);
+        running->rig->read_line(running->router, G_DATA_INPUT_STREAM(stream));
       },
       new Running{this, router, routers_[router].process});
 }
@@ -203,6 +212,10 @@
     r.datagrams = datagrams, r.links = after(line, "links at ");
     tell_wires(router);
   }
+  if (r.before != nullptr && line.find("serving in the place of the predecessor") != std::string::npos) {
+    g_subprocess_send_signal(r.before, SIGTERM);
+    r.before = nullptr;
+  }
   if (line.find(" serves on ") != std::string::npos && r.state == State::starting) {
     r.state = State::serving;
     away(router, false);
@@ -268,10 +281,33 @@
   g_subprocess_send_signal(routers_[router].process, SIGCONT);
 }
 
+void Rig::replace(std::size_t router) {
+  Router& r = routers_[router];
+  if (!runs(router) || r.before != nullptr) return;
+  say(name(router) + " is replaced by another process");
+  r.before = std::exchange(r.process, nullptr);
+  spawn(router, DiskState::kept);
+}
+
+// Just before it is told to end.
+void Rig::measure(std::size_t router) {
+  Router& r = routers_[router];
+  const std::string folder = "/proc/" + std::to_string(r.pid);
+  std::ifstream stat(folder + "/stat"), statm(folder + "/statm");
+  std::string word;
+  double user = 0, system = 0, size = 0, resident = 0;
+  for (int i = 0; i < 13; ++i) stat >> word;
+  stat >> user >> system;
+  statm >> size >> resident;
+  r.cpu_ms = (user + system) * 1000 / static_cast<double>(sysconf(_SC_CLK_TCK));
+  r.memory_mb = resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
 // Clients are led elsewhere, as the front does; what it has taken it owes an answer.
 void Rig::end(std::size_t router) {
   if (!runs(router)) return;
   say(name(router) + " is told to end");
+  measure(router);
   account_->send_to(router, "");
   routers_[router].state = State::ending;
   routers_[router].end_asked = net::now_us();
@@ -479,6 +515,14 @@
   }
   for (const auto& [pair, wire] : wires_) f.datagrams += wire->figures().datagrams, f.lost += wire->figures().lost;
   f.agreed_after_s = agreed_after_s_;
+  std::vector<double> answers;
+  for (const auto& entry : account_->entries()) {
+    if (entry->outcome == Outcome::served) answers.push_back(static_cast<double>(entry->ended - entry->asked) / 1000);
+  }
+  std::sort(answers.begin(), answers.end());
+  if (!answers.empty()) f.answer_p50_ms = answers[answers.size() / 2], f.answer_p99_ms = answers[answers.size() * 99 / 100];
+  for (const auto& r : routers_) f.cpu_ms += r.cpu_ms / static_cast<double>(size()), f.memory_mb += r.memory_mb / static_cast<double>(size());
+  if (f.asked > 0) f.cpu_us_a_request = 1000 * f.cpu_ms * static_cast<double>(size()) / static_cast<double>(f.asked);
   return f;
 }
 
--- a/src/standins/rig.hpp
+++ b/src/standins/rig.hpp
@@ -20,7 +20,7 @@
 
 namespace sprucecourse::standins {
 
-enum class DiskState { kept, empty, older, full };
+enum class DiskState { kept, empty, older, full, slow };  // slow: half a second for each write that is to be durable
 const char* name_of(DiskState disk);
 
 struct RigOptions {
@@ -31,6 +31,7 @@
   double period_s = 0.3;
   double rate = 5;                     // requests a second and router; 0: no clients
   bool group = true;                   // false: the same routers without their group
+  bool door = false;                   // an operators' door, and with it the replacing of the process
   bool wires = true;                   // false: they reach each other straight, and no fault lies between them
   std::uint64_t seed = 1;
   std::string more;                    // of each operator's file
@@ -54,6 +55,8 @@
   void stop(std::size_t router);  // SIGSTOP
   void go(std::size_t router);    // SIGCONT
   void end(std::size_t router);   // SIGTERM
+  // Another process takes its place under load, and the old one is told to end once the new one serves.
+  void replace(std::size_t router);
   void set_clock(std::size_t router, double ahead_ms, double rate);  // the rate from its next start on
   // A box's process dies, or starts again. An answer that had begun on it ends with it, and no other may take its place.
   void stop_box(std::size_t box);
@@ -92,6 +95,9 @@
     std::size_t asked = 0, served = 0, refused = 0, excused = 0, starts = 0, most_attempts = 0;
     std::size_t gone_words = 0, datagrams = 0, lost = 0;
     double agreed_after_s = 0;
+    // Of a router that ran to the end: processor time and memory; of an answer: from the question to its end.
+    double cpu_ms = 0, memory_mb = 0, cpu_us_a_request = 0;
+    double answer_p50_ms = 0, answer_p99_ms = 0;
   };
   Figures figures() const;
 
@@ -106,6 +112,8 @@
     std::string crashed;  // how it ended when nobody asked it to
     std::vector<std::pair<Time, Time>> away;  // while no answer is owed: from, to; 0: still
     Time end_asked = 0;
+    GSubprocess* before = nullptr;  // whose place the process is taking
+    double cpu_ms = 0, memory_mb = 0;
   };
   struct Running {  // what GLib calls back with
     Rig* rig;
@@ -115,10 +123,11 @@
 
   void write_files(std::size_t router);
   std::string address_for(std::size_t reader, std::size_t of) const;
-  void spawn(std::size_t router, bool full_disk);
-  void read_line(std::size_t router);
+  void spawn(std::size_t router, DiskState disk);
+  void read_line(std::size_t router, GDataInputStream* lines);
   void said(std::size_t router, const std::string& line);
   void ended(std::size_t router, GSubprocess* process);
+  void measure(std::size_t router);
   void tell_wires(std::size_t router);
   void away(std::size_t router, bool on);
   bool excused(const Entry& entry) const;
--- a/src/standins/rig_script.cpp
+++ b/src/standins/rig_script.cpp
@@ -17,7 +17,7 @@
 
 const std::vector<std::string> kKinds = {"kill",       "start", "stop",    "go",   "end",    "clock",  "network", "half-close",
                                          "reset", "isolate", "join", "halves", "bridge", "flap",    "drain", "box", "heal"};
-const std::vector<std::string> kDisks = {"kept", "empty", "older", "full"};
+const std::vector<std::string> kDisks = {"kept", "empty", "older", "full", "slow"};
 
 template <typename Kind>
 Kind named(const std::vector<std::string>& names, const std::string& name) {
--- a/src/tools/group.cpp
+++ b/src/tools/group.cpp
@@ -47,7 +47,7 @@
   std::uint64_t seed = 1, count = 1;
   double seconds = 10;
   std::size_t least = 3, most = 9;
-  bool quiet = false;
+  bool quiet = false, alone = false, straight = false;
 };
 
 // Prints the timeline; 0 if all held.
@@ -56,6 +56,8 @@
   options.program = std::filesystem::read_symlink(line.program).string();
   options.folder = folder;
   options.scenario = line.scenario;
+  options.group = !line.alone;
+  options.wires = !line.straight;
   if (!line.quiet) options.say = [](double at, const std::string& what) { fmt::print("{:9.3f}  {}\n", at, what); };
   const auto played = standins::play(script, options);
   const auto& f = played.figures;
@@ -63,6 +65,8 @@
              "{} datagrams, {} lost; agreed after {:.1f} s; logs in {}\n",
              script.seed, script.routers, script.faults.size(), f.starts, f.asked, f.served, f.refused, f.excused, f.most_attempts, f.gone_words, f.datagrams, f.lost,
              f.agreed_after_s, folder);
+  fmt::print("  a router: {:.0f} ms of CPU, {:.1f} MB; {:.0f} us of CPU a request; answers p50 {:.1f} ms, p99 {:.1f} ms\n", f.cpu_ms, f.memory_mb, f.cpu_us_a_request,
+             f.answer_p50_ms, f.answer_p99_ms);
   std::fflush(stdout);
   if (played.broken.empty()) return 0;
   fmt::print("BROKEN: {}\n", played.broken);
@@ -99,6 +103,8 @@
   command->add_option("--most", line->most, "likewise")->check(CLI::Range(2, 50))->capture_default_str();
   command->add_option("--folder", line->folder, "for logs, disks and configurations; it stays");
   command->add_flag("--quiet", line->quiet, "no timeline");
+  command->add_flag("--alone", line->alone, "the same routers without a group, to compare with");
+  command->add_flag("--straight", line->straight, "no wires between them: no faults of the network, and room for hundreds");
   command->callback([line, &status] { status = run_play(*line); });
 }
 
--- a/tests/group/processes.cpp
+++ b/tests/group/processes.cpp
@@ -13,16 +13,16 @@
 namespace {
 
 struct Group {
-  explicit Group(std::size_t routers, std::size_t sites = 1, std::string more = {}) : rig(options(routers, sites, std::move(more))) {
+  explicit Group(std::size_t routers, std::size_t sites = 1, std::string more = {}, bool door = false) : rig(options(routers, sites, std::move(more), door)) {
     for (std::size_t i = 0; i < routers; ++i) rig.start(i);
     agreed();
   }
-  RigOptions options(std::size_t routers, std::size_t sites, std::string more) const {
+  RigOptions options(std::size_t routers, std::size_t sites, std::string more, bool door) const {
     RigOptions o;
     o.program = THORNWICK;
     o.folder = scratch.folder();
     o.scenario = std::string(THORNWICK_EXAMPLES) + "/lab/demo.toml";
-    o.routers = routers, o.sites = sites, o.more = std::move(more);
+    o.routers = routers, o.sites = sites, o.more = std::move(more), o.door = door;
     return o;
   }
   void agreed() {
@@ -103,6 +103,10 @@
   g.says(0, "r01: started anew with an empty disk");
   g.agreed();
   CHECK(g.rig.status(0).at("members").at(1).at("back") == "empty");
+  dies();
+  g.rig.start(1, DiskState::slow);  // it only takes its time
+  g.says(1, " of its disk");
+  g.agreed();
   g.ended_well();
 }
 
@@ -129,7 +133,33 @@
   g.ended_well();
 }
 
-TEST_CASE("processes: the one that is cut off knows that it is the one; halves of an even group call each other gone and agree again") {
+TEST_CASE("processes: halves of an even group call each other gone, and agree again") {
+  Group g(4, 2);
+  g.mark();
+  WireFaults cut;
+  cut.cut = true;
+  for (std::size_t a = 0; a < 2; ++a) {
+    for (std::size_t b = 2; b < 4; ++b) g.rig.set(a, b, cut), g.rig.set(b, a, cut);
+  }
+  for (std::size_t a = 0; a < 2; ++a) g.says(a, "r02: gone"), g.says(a, "r03: gone"), g.says(a + 2, "r00: gone"), g.says(a + 2, "r01: gone");
+  for (std::size_t i = 0; i < 4; ++i) CHECK(!g.rig.says(i, "this router is cut off"));
+  g.rig.heal();
+  g.agreed();
+  g.ended_well();
+}
+
+TEST_CASE("processes: a process that is replaced under load leaves its name to the new one; nobody suspects it, no client is lost") {
+  Group g(3, 1, "", true);
+  g.mark();
+  g.rig.replace(1);
+  g.says(0, "r01: started anew with its disk");
+  g.says(2, "r01: started anew with its disk");
+  g.agreed();
+  for (const std::size_t i : {0u, 2u}) CHECK((!g.rig.says(i, "r01: suspected") && !g.rig.says(i, "r01: gone") && !g.rig.says(i, "two processes")));
+  g.ended_well();
+}
+
+TEST_CASE("processes: the one that is cut off knows that it is the one") {
   Group g(5);
   g.mark();
   g.rig.isolate(4, true);
