--- a/src/standins/installation.cpp
+++ b/src/standins/installation.cpp
@@ -82,7 +82,15 @@
   void start() {
     if (up()) return;
     started_ = net::now_us();
-    server_ = std::make_unique<Server>(address_, [this](Server::Line& line) { asked(line); });
+    const auto serve = [this](const std::string& at) {
+      server_ = std::make_unique<Server>(at, [this](Server::Line& line) { asked(line); });
+    };
+    try {
+      serve(address_);
+    } catch (const net::NetError&) {
+      serve("127.0.0.1:0");  // somebody else got its port meanwhile: it comes back at another, as the list will say
+    }
+    address_ = server_->address();
     set_pace();
   }
 
