--- a/src/standins/rig_script.cpp
+++ b/src/standins/rig_script.cpp
@@ -222,6 +222,7 @@
       rig.number("seconds", script.seconds, 0, kMostSeconds);
       rig.number("period_s", script.period_s, 0.05, 60);
       rig.number("rate", script.rate, 0, 1'000);
+      rig.text("scenario", script.scenario);
       rig.count("seed", script.seed, 0, std::int64_t{1} << 60);
       if (script.sites > script.routers) rig.refuse("sites", "there are more than routers");
     }
--- a/src/standins/rig_script.hpp
+++ b/src/standins/rig_script.hpp
@@ -25,6 +25,7 @@
   std::size_t routers = 3, sites = 1;
   double seconds = 10, period_s = 0.3, rate = 5;
   std::uint64_t seed = 1;
+  std::string scenario;  // of boxes and classes, beside the script; empty: whoever plays it says
   std::vector<RigFault> faults;  // by time
 };
 
--- a/src/tools/group.cpp
+++ b/src/tools/group.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <memory>
+#include <optional>
 
 #include "emulator/group_faults.hpp"
 #include "lab/group_table.hpp"
@@ -44,8 +45,9 @@
 
 struct PlayLine {
   std::string script, folder, scenario, program = "/proc/self/exe";
-  std::uint64_t seed = 1, count = 1;
-  double seconds = 10;
+  std::optional<std::uint64_t> given_seed;
+  std::optional<double> given_seconds;
+  std::uint64_t count = 1;
   std::size_t least = 3, most = 9;
   bool quiet = false, alone = false, straight = false;
 };
@@ -73,19 +75,31 @@
   return 1;
 }
 
+// What the command line says counts, then what the script says.
+int play_script(const PlayLine& line, const std::string& folder) {
+  auto script = standins::read_rig_script(line.script);
+  if (line.given_seed) script.seed = *line.given_seed;
+  if (line.given_seconds) script.seconds = *line.given_seconds;
+  PlayLine whole = line;
+  if (whole.scenario.empty() && !script.scenario.empty()) {
+    whole.scenario = (std::filesystem::path(line.script).parent_path() / script.scenario).string();
+  }
+  if (whole.scenario.empty()) throw std::invalid_argument("group play: the script has no rig.scenario, and there is no --scenario FILE");
+  return play_one(whole, script, folder);
+}
+
 int run_play(const PlayLine& line) {
-  if (line.scenario.empty()) throw std::invalid_argument("group play: --scenario FILE is needed: boxes and classes, as `thornwick boxes` takes it");
   const std::string folder = line.folder.empty() ? (std::filesystem::temp_directory_path() / fmt::format("thornwick-rig-{}", getpid())).string() : line.folder;
-  if (!line.script.empty()) {
-    auto script = standins::read_rig_script(line.script);
-    return play_one(line, script, folder);
-  }
+  if (!line.script.empty()) return play_script(line, folder);
+  if (line.scenario.empty()) throw std::invalid_argument("group play: --scenario FILE is needed: boxes and classes, as `thornwick boxes` takes it");
   int broken = 0;
-  for (std::uint64_t seed = line.seed; seed < line.seed + line.count; ++seed) {
-    const auto script = standins::random_rig_script(seed, line.seconds, line.least, line.most);
+  const std::uint64_t first = line.given_seed.value_or(1);
+  const double seconds = line.given_seconds.value_or(10);
+  for (std::uint64_t seed = first; seed < first + line.count; ++seed) {
+    const auto script = standins::random_rig_script(seed, seconds, line.least, line.most);
     if (play_one(line, script, folder + fmt::format("/{}", seed)) == 0) continue;
     ++broken;
-    fmt::print("  again: thornwick group play --scenario {} --seed {} --seconds {} --least {} --most {}\n", line.scenario, seed, line.seconds, line.least, line.most);
+    fmt::print("  again: thornwick group play --scenario {} --seed {} --seconds {} --least {} --most {}\n", line.scenario, seed, seconds, line.least, line.most);
   }
   if (line.count > 1) fmt::print("{} scripts, {} broken\n", line.count, broken);
   return broken == 0 ? 0 : 1;
@@ -96,9 +110,9 @@
   auto* command = group.add_subcommand("play", "real processes with faults between them, on this machine");
   command->add_option("SCRIPT", line->script, "a fault script (TOML); without it, scripts are drawn from the seed")->check(CLI::ExistingFile);
   command->add_option("--scenario", line->scenario, "boxes and classes of requests (TOML)")->check(CLI::ExistingFile);
-  command->add_option("--seed", line->seed, "of the first script that is drawn")->capture_default_str();
+  command->add_option("--seed", line->given_seed, "of the first script that is drawn, or instead of the script's own");
   command->add_option("--count", line->count, "scripts that are drawn")->check(CLI::Range(1, 100'000))->capture_default_str();
-  command->add_option("--seconds", line->seconds, "that faults last, in a script that is drawn")->check(CLI::Range(1.0, 3600.0))->capture_default_str();
+  command->add_option("--seconds", line->given_seconds, "that faults last: 10 in a script that is drawn")->check(CLI::Range(1.0, 3600.0));
   command->add_option("--least", line->least, "routers of a script that is drawn")->check(CLI::Range(2, 50))->capture_default_str();
   command->add_option("--most", line->most, "likewise")->check(CLI::Range(2, 50))->capture_default_str();
   command->add_option("--folder", line->folder, "for logs, disks and configurations; it stays");
--- a/tests/net/config.cpp
+++ b/tests/net/config.cpp
@@ -158,7 +158,7 @@
 
 // The files that come with the program are good ones.
 TEST_CASE("each operator's file under deploy/ is read without an error") {
-  for (const char* name : {"affinity.toml", "messages.toml", "models.toml", "platform.toml"}) {
+  for (const char* name : {"affinity.toml", "group.toml", "messages.toml", "models.toml", "platform.toml"}) {
     CHECK_NOTHROW(read_operator_file(std::string(THORNWICK_DEPLOY) + "/" + name));
   }
   CHECK(read_operator_file(std::string(THORNWICK_DEPLOY) + "/platform.toml").store.file.empty());
