--- a/src/standins/rig.hpp
+++ b/src/standins/rig.hpp
@@ -88,6 +88,8 @@
   // What somebody holds that is not so; empty if all that run hold the same, and it is so.
   std::string disagreement() const;
 
+  // Microseconds: more for a large group.
+  Time agree_within() const;
   // Heals all, starts all, waits until they agree, ends them, and says what did not hold; empty if all did.
   std::string settle();
 
