Take out what nothing calls: stay, times that were only set, an accessor of the wire

Found on reading the change again: Swim::stay and Others::stay (a SIGTERM is not taken back here), MemberView::sees_at and Errand::at (written, never read), Wire::faults. Behaviour as it was: group, process and socket tests pass in release.

--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -472,14 +472,6 @@
   look_around(now, kLookWide);
 }
 
-void Swim::stay(Time now) {
-  woken(now);
-  if (!leaving_) return;
-  leaving_ = false;
-  members_[self_].view.standing = Standing::alive;
-  outrank(now, incarnation());
-}
-
 void Swim::heard(Time now, std::span<const std::uint8_t> bytes) {
   woken(now);
   Unread why = Unread::none;
@@ -515,7 +507,7 @@
     }
     sender.view.stops = std::max(sender.view.stops, message.stops);
     sender.view.stopped_s = message.stopped_s;
-    if (message.seen.size() == roster_->sites().size()) sender.view.sees = message.seen, sender.view.sees_at = now;
+    if (message.seen.size() == roster_->sites().size()) sender.view.sees = message.seen;
   }
   switch (message.kind) {
     case Kind::ping:
@@ -551,7 +543,7 @@
     return;
   }
   if (errands_.size() >= kMostErrands) errands_.pop_front();
-  errands_.push_back({from, about, message.number, ++number_, now});
+  errands_.push_back({from, about, message.number, ++number_});
   send(about, Kind::ping, number_, 0);
 }
 
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -61,7 +61,6 @@
   std::uint32_t starts = 0; // other processes under its name that were seen since this one started
   std::uint16_t stops = 0, stopped_s = 0;
   std::vector<std::uint8_t> sees;  // routers by site that it said it sees
-  Time sees_at = 0;
 };
 
 struct Change {
@@ -93,7 +92,6 @@
   void heard_view(Time now, std::size_t teller, const std::vector<Claim>& claims);
   // This router ends: told to some at once, and with each message from then on.
   void leave(Time now);
-  void stay(Time now);  // it does not, after all
 
   std::vector<Sending> take_sendings() { return std::exchange(sendings_, {}); }
   std::vector<Change> take_changes() { return std::exchange(changes_, {}); }
@@ -153,7 +151,6 @@
   struct Errand {
     std::size_t for_whom = 0, about = 0;
     std::uint32_t its_number = 0, number = 0;
-    Time at = 0;
   };
   struct Rumour {
     Claim claim;
--- a/src/node/others.cpp
+++ b/src/node/others.cpp
@@ -77,11 +77,6 @@
   after();
 }
 
-void Others::stay() {
-  swim_->stay(net::now_us());
-  after();
-}
-
 void Others::arrived(std::span<const std::uint8_t> bytes) {
   swim_->heard(net::now_us(), bytes);
   after();
--- a/src/node/others.hpp
+++ b/src/node/others.hpp
@@ -21,7 +21,6 @@
   ~Others();
 
   void leave();  // this router ends, and says so
-  void stay();
 
   // Text for people, or JSON.
   std::string status(bool json) const;
--- a/src/standins/wire.hpp
+++ b/src/standins/wire.hpp
@@ -37,7 +37,6 @@
   void other_is(const std::string& datagrams, const std::string& links) { sides_[there].datagrams = datagrams, sides_[there].links = links; }
 
   void set(Way way, const WireFaults& faults);
-  const WireFaults& faults(Way way) const { return sides_[way].faults; }
   // Of the connections that are open: no more bytes that way, but for those that are on it; or none at all.
   void half_close(Way way);
   void reset();
