Say once which standings are absent; take out two accessors that nobody calls

Found on reading the change again: swim.cpp asked 'gone or left' in five places (now absent()), Group::swim_options and Rig::pid had no caller. Behaviour as it was: the group tests and three of the process tests pass in release, assertions unchanged.

--- a/src/emulator/group.hpp
+++ b/src/emulator/group.hpp
@@ -32,7 +32,6 @@
 
   Time now() const { return now_; }
   std::size_t size() const { return nodes_.size(); }
-  const membership::Options& swim_options() const { return options_.swim; }
   void run_until(Time until);
 
   // What befalls a process. Each has no effect where it makes no sense.
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -26,6 +26,8 @@
 constexpr Time kMostPauses = 5;         // periods without a probe, however much was sent
 constexpr std::uint32_t kMostLost = 4;   // rounds that one doubt tells of the losses
 constexpr double kAnswersAPeriod = 8;    // to one member
+bool absent(Standing standing) { return standing == Standing::gone || standing == Standing::left; }
+
 constexpr Time kRecentPeriods = 10;      // a member called gone within so many periods may yet be a mistake of this router's
 
 }  // namespace
@@ -167,7 +169,7 @@
   std::vector<std::size_t> gone;
   for (std::size_t m = 0; m < members_.size(); ++m) {
     const Standing standing = members_[m].view.standing;
-    if ((standing == Standing::gone || standing == Standing::left) && !members_[m].probing) gone.push_back(m);
+    if (absent(standing) && !members_[m].probing) gone.push_back(m);
   }
   if (!gone.empty() && unit() < options_.gone_part) return begin_round(now, gone[below(gone.size())]);
   for (std::size_t tries = 0; tries < 2 * members_.size() + 1; ++tries) {
@@ -181,7 +183,7 @@
     const std::size_t member = order_.back();
     order_.pop_back();
     const Standing standing = members_[member].view.standing;
-    if (standing == Standing::gone || standing == Standing::left || members_[member].probing) continue;
+    if (absent(standing) || members_[member].probing) continue;
     return begin_round(now, member);
   }
   if (!gone.empty()) begin_round(now, gone[below(gone.size())]);
@@ -195,7 +197,7 @@
     doubted_ = (doubted_ + 1) % members_.size();
     const Member& member = members_[doubted_];
     const Standing standing = member.view.standing;
-    if (member.failed == 0 || member.probing || now < member.next_round || standing == Standing::gone || standing == Standing::left) continue;
+    if (member.failed == 0 || member.probing || now < member.next_round || absent(standing)) continue;
     begin_round(now, doubted_);
     ++open;
   }
@@ -247,7 +249,7 @@
   const bool helpers = ++round.asked == 3;
   round.act_at = helpers ? round.due : round.begun + round_time() * 2 / 3;
   const Standing standing = members_[round.member].view.standing;
-  if (standing == Standing::gone || standing == Standing::left) return;
+  if (absent(standing)) return;
   const std::uint32_t number = round.number;
   const std::size_t member = round.member;
   // One that is reached only over another is asked for over that one each time.
@@ -265,7 +267,7 @@
   if (now > round.due + options_.period / 4) return;
   ++figures_.unanswered;
   const Standing standing = member.view.standing;
-  if (standing == Standing::gone || standing == Standing::left) return;
+  if (absent(standing)) return;
   if (round.ordinary) {
     health_ = std::min(kMostHealth, health_ + 1);
     look_around(now, ++blank_ >= 2 ? kLookWide : 1);
--- a/src/standins/rig.hpp
+++ b/src/standins/rig.hpp
@@ -78,7 +78,6 @@
   // What it says after this is what says() looks at.
   void mark(std::size_t router) { routers_[router].mark = routers_[router].log.size(); }
   bool says(std::size_t router, const std::string& text) const;
-  int pid(std::size_t router) const { return routers_[router].pid; }
 
   // Lets the loop run until it holds; false if it does not within the time.
   bool until(const std::function<bool()>& holds, Time most = 60'000'000);
