--- /dev/null
+++ b/src/copies/copies.cpp
@@ -0,0 +1,92 @@
+#include "copies/copies.hpp"
+
+#include <algorithm>
+
+namespace sprucecourse::copies {
+
+Copies::Copies(Options options, Surroundings surroundings, Time now) : options_(std::move(options)), around_(std::move(surroundings)) {
+  for (std::size_t ledger = 0; ledger < options_.purse.ledgers; ++ledger) {
+    const auto placed = holders_of(*options_.holder.roster, ledger, options_.holder.copies);
+    bool any = std::find(placed.begin(), placed.end(), options_.holder.self) != placed.end();
+    around_.stored(ledger, [&](std::string_view, std::string_view) { any = true; });
+    if (any) open(ledger, now);
+  }
+  purse_ = std::make_unique<Purse>(
+      options_.purse, Purse::Surroundings{[this](std::size_t member, std::string bytes) { send(member, std::move(bytes)); }, around_.say}, now);
+}
+
+void Copies::open(std::size_t ledger, Time now) {
+  HolderOptions options = options_.holder;
+  options.ledger = ledger;
+  holders_[ledger] = std::make_unique<Holder>(
+      options,
+      Holder::Surroundings{around_.records(ledger), around_.chance, [this](std::size_t member, std::string bytes) { send(member, std::move(bytes)); }, around_.say},
+      [this, ledger](const Visit& visit) { around_.stored(ledger, visit); }, now);
+}
+
+void Copies::send(std::size_t member, std::string bytes) {
+  if (member == options_.holder.self) return own_.push_back(std::move(bytes));
+  ++figures_.sent;
+  figures_.sent_bytes += bytes.size();
+  around_.send(member, std::move(bytes));
+}
+
+void Copies::pump(Time now) {
+  if (std::exchange(pumping_, true)) return;
+  while (!own_.empty()) {
+    const std::string bytes = std::move(own_.front());
+    own_.pop_front();
+    take(now, options_.holder.self, bytes);
+  }
+  pumping_ = false;
+}
+
+void Copies::tick(Time now) {
+  for (auto& [ledger, holder] : holders_) holder->tick(now);
+  if (now >= purse_->next()) purse_->tick(now);
+  pump(now);
+}
+
+void Copies::durable(Time now, std::uint64_t number) {
+  for (auto& [ledger, holder] : holders_) holder->durable(now, number);
+  pump(now);
+}
+
+void Copies::heard(Time now, std::size_t member, std::string_view bytes) {
+  ++figures_.heard;
+  take(now, member, bytes);
+  pump(now);
+}
+
+void Copies::take(Time now, std::size_t member, std::string_view bytes) {
+  const auto envelope = read<Envelope>(bytes);
+  if (!envelope) return void(++figures_.unreadable);
+  if (envelope->version != kVersion) {
+    ++figures_.other_version;
+    if (!std::exchange(version_told_, true)) {
+      around_.say(true, options_.holder.roster->at(member).name + " speaks version " + std::to_string(envelope->version) + " of the copies' messages, this program " +
+                            std::to_string(kVersion) + ": it is not heard");
+    }
+    return;
+  }
+  const auto kind = static_cast<Kind>(envelope->kind);
+  const std::size_t ledger = envelope->ledger;
+  if (ledger >= options_.purse.ledgers) return void(++figures_.unreadable);
+  if (kind == Kind::answer || kind == Kind::refused || kind == Kind::corrected) return purse_->heard(now, member, ledger, kind, envelope->body);
+  if (kind == Kind::hello && !holders_.contains(ledger)) {
+    // A leader that wants a copy here: this router has taken another one's place.
+    const auto hello = read<Hello>(envelope->body);
+    const std::string& own = options_.holder.roster->at(options_.holder.self).name;
+    if (hello && std::find(hello->wanted.begin(), hello->wanted.end(), own) != hello->wanted.end()) open(ledger, now);
+  }
+  const auto holder = holders_.find(ledger);
+  if (holder != holders_.end()) return holder->second->heard(now, member, kind, envelope->body);
+  if (kind == Kind::ask) {
+    Refused refused;
+    if (const auto ask = read<Ask>(envelope->body)) refused.number = ask->number;
+    for (const std::size_t m : holders_of(*options_.holder.roster, ledger, options_.holder.copies)) refused.holders.push_back(options_.holder.roster->at(m).name);
+    send(member, write(Kind::refused, ledger, refused));
+  }
+}
+
+}  // namespace sprucecourse::copies
--- /dev/null
+++ b/src/copies/copies.hpp
@@ -0,0 +1,59 @@
+// All that one router does with copies: its purse, and its copies of some ledgers; messages go to whom they are for.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "copies/holder.hpp"
+#include "copies/purse.hpp"
+
+namespace sprucecourse::copies {
+
+struct Options {
+  HolderOptions holder;  // `ledger` is set for each
+  PurseOptions purse;
+};
+
+struct MessageFigures {
+  std::uint64_t heard = 0, unreadable = 0, other_version = 0, sent = 0, sent_bytes = 0;
+};
+
+class Copies {
+ public:
+  struct Surroundings {
+    std::function<Records&(std::size_t ledger)> records;
+    std::function<void(std::size_t ledger, const Visit&)> stored;
+    std::function<std::uint64_t()> chance;
+    std::function<void(std::size_t member, std::string bytes)> send;  // to another router
+    std::function<void(bool grave, const std::string& text)> say;
+  };
+  Copies(Options options, Surroundings surroundings, Time now);
+
+  void tick(Time now);
+  void durable(Time now, std::uint64_t number);
+  void heard(Time now, std::size_t member, std::string_view bytes);
+  // What the purse wants said since its last call goes out.
+  void pump(Time now);
+
+  Purse& purse() { return *purse_; }
+  const Purse& purse() const { return *purse_; }
+  const std::map<std::size_t, std::unique_ptr<Holder>>& holders() const { return holders_; }
+  const MessageFigures& figures() const { return figures_; }
+  const Options& options() const { return options_; }
+
+ private:
+  void open(std::size_t ledger, Time now);
+  void send(std::size_t member, std::string bytes);
+  void take(Time now, std::size_t member, std::string_view bytes);
+
+  Options options_;
+  Surroundings around_;
+  std::map<std::size_t, std::unique_ptr<Holder>> holders_;
+  std::unique_ptr<Purse> purse_;
+  std::deque<std::string> own_;  // from this router to itself
+  bool version_told_ = false, pumping_ = false;
+  MessageFigures figures_;
+};
+
+}  // namespace sprucecourse::copies
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "logging/log.hpp"
 #include "node/meaning.hpp"
 #include "node/node.hpp"
+#include "tools/copies.hpp"
 #include "tools/group.hpp"
 #include "tools/models.hpp"
 #include "tools/standins.hpp"
@@ -148,6 +149,7 @@
   std::vector<CLI::App*> others = tools::add_standins(app, status);
   others.push_back(lab::add_command(app, status));
   others.push_back(tools::add_group(app, status, line.operator_file));
+  others.push_back(tools::add_copies(app, status, line.operator_file));
   for (auto* command : tools::add_models(app, status)) others.push_back(command);
 
   const std::string page = app.help();  // once a sub-command is parsed this would be only its own
