--- a/src/budgets/accounts.cpp
+++ b/src/budgets/accounts.cpp
@@ -10,6 +10,7 @@
 
 // Ahead of what is used when a mark is written, in blocks; and when the next one is.
 constexpr Units kMarkAhead = 2, kMarkAgainAt = 1;
+constexpr std::size_t kMostOpened = 4096;  // combinations of names, ahead of any request
 
 bool applies(const Budget& b, const Who& who) {
   const auto fits = [](std::uint16_t wanted, std::uint16_t has) {
@@ -41,10 +42,23 @@
 
 }  // namespace
 
-Accounts::Accounts(const Options& options, Journal* journal) : options_(options), journal_(journal) {
+Accounts::Accounts(const Options& options, Journal* journal, Bank* bank)
+    : options_(options), journal_(bank == nullptr ? journal : nullptr), bank_(bank) {
   check(options);
 }
 
+void Accounts::open_all(Time wall) {
+  const auto count = [](std::size_t names) { return std::max<std::size_t>(1, names); };
+  if (count(options_.members.size()) * (options_.models.size() + 1) * count(options_.classes.size()) > kMostOpened) return;
+  for (std::size_t member = 0; member < count(options_.members.size()); ++member) {
+    for (std::size_t model = options_.models.empty() ? 0 : 1; model <= options_.models.size(); ++model) {
+      for (std::size_t cls = 0; cls < count(options_.classes.size()); ++cls) {
+        places_of({static_cast<std::uint16_t>(member), static_cast<std::uint16_t>(model), static_cast<std::uint16_t>(cls)}, wall);
+      }
+    }
+  }
+}
+
 // ---------------------------------------------------------------- which accounts
 
 // Without talk between routers each has its part of a limit; who comes first gets what does not divide.
@@ -80,7 +94,7 @@
   const auto kept = kept_.find(key);
   const Limit limit = kept == kept_.end() ? Limit(rule, wall) : Limit(rule, kept->second, wall);
   if (kept != kept_.end()) kept_.erase(kept);
-  accounts_.push_back({budget, key, limit, limit, std::nullopt, 0});
+  accounts_.push_back({budget, key, limit, limit, std::nullopt, 0, bank_ == nullptr ? 0 : bank_->open(key, rule)});
   return at->second;
 }
 
@@ -135,6 +149,7 @@
 Grant Accounts::reserve(const Who& who, Units amount, Time wall) {
   amount = std::clamp<Units>(amount, 0, kMostUnits);
   const std::shared_ptr<const Places> places = places_of(who, wall);
+  if (bank_ != nullptr) return reserve_at_bank(places, amount, wall);
   Grant grant;
   for (const std::uint32_t place : *places) {
     Account& account = accounts_[place];
@@ -166,19 +181,60 @@
     mark(accounts_[place], wall);
   }
   grant.id = ++last_;
-  reservations_[grant.id] = {places, amount, wall};
+  reservations_[grant.id] = {places, {}, amount, wall};
   figures_.reserved = sum_of(figures_.reserved, amount);
   ++figures_.granted;
   return grant;
 }
 
+Denial Accounts::denial_of(std::uint32_t place, Units amount, Time wall) {
+  const Account& account = accounts_[place];
+  const Bank::Standing standing = bank_->standing(account.place, amount, wall);
+  return {account.key, account.now.rule().amount, standing.left, standing.come_back, standing.reset, standing.behind};
+}
+
+// On all hard accounts or on none; what the bank does not give for a soft one is told to it once it is used.
+Grant Accounts::reserve_at_bank(const std::shared_ptr<const Places>& places, Units amount, Time wall) {
+  Grant grant;
+  Places taken, beyond;
+  for (const std::uint32_t place : *places) {
+    if (bank_->reserve(accounts_[place].place, amount, wall)) {
+      taken.push_back(place);
+    } else if (!options_.budgets[accounts_[place].budget].hard) {
+      beyond.push_back(place);
+    } else if (Denial denial = denial_of(place, amount, wall);
+               !grant.denial || !denial.come_back || (grant.denial->come_back && *denial.come_back > *grant.denial->come_back)) {
+      grant.denial = std::move(denial);
+    }
+  }
+  if (grant.denial) {
+    for (const std::uint32_t place : taken) bank_->settle(accounts_[place].place, amount, 0, wall, wall);
+    ++(grant.denial->behind ? figures_.behind : figures_.denied);
+    return grant;
+  }
+  if (!beyond.empty()) ++figures_.over_soft, grant.worth_part = options_.soft_worth;
+  grant.id = ++last_;
+  reservations_[grant.id] = {places, std::move(beyond), amount, wall};
+  figures_.reserved = sum_of(figures_.reserved, amount);
+  ++figures_.granted;
+  return grant;
+}
+
+void Accounts::settle_at_bank(const Reservation& r, Units used, Time wall) {
+  for (const std::uint32_t place : *r.places) {
+    const bool beyond = std::find(r.beyond.begin(), r.beyond.end(), place) != r.beyond.end();
+    bank_->settle(accounts_[place].place, beyond ? 0 : r.amount, used, r.at, wall);
+  }
+}
+
 void Accounts::settle(ReservationId id, Units used, Time wall) {
   const auto found = reservations_.find(id);
   if (found == reservations_.end()) return;
   const Reservation r = std::move(found->second);
   reservations_.erase(found);
   used = std::clamp<Units>(used, 0, kMostUnits);
-  for (const std::uint32_t place : *r.places) {
+  if (bank_ != nullptr) settle_at_bank(r, used, wall);
+  for (const std::uint32_t place : bank_ != nullptr ? Places{} : *r.places) {
     Account& account = accounts_[place];
     if (used <= r.amount) {
       account.now.give_back(r.amount - used, wall, r.at);
@@ -197,6 +253,10 @@
   if (found == reservations_.end()) return;
   used = std::clamp<Units>(used, 0, kMostUnits);
   for (const std::uint32_t place : *found->second.places) {
+    if (bank_ != nullptr) {
+      bank_->settle(accounts_[place].place, 0, used, wall, wall);
+      continue;
+    }
     accounts_[place].now.take(used, wall);
     mark(accounts_[place], wall);
   }
@@ -215,11 +275,12 @@
   const auto places = places_of(who, wall);
   for (const std::uint32_t place : *places) {
     Account& account = accounts_[place];
-    const Units limit = account.now.rule().amount, left = std::max<Units>(0, account.now.left(wall));
+    const Bank::Standing banked = bank_ == nullptr ? Bank::Standing{} : bank_->standing(account.place, 0, wall);
+    const Units limit = account.now.rule().amount, left = bank_ != nullptr ? banked.left : std::max<Units>(0, account.now.left(wall));
     const double part = limit > 0 ? static_cast<double>(left) / static_cast<double>(limit) : 0;
     if (!options_.budgets[account.budget].hard || part >= tightest) continue;
     tightest = part;
-    standing = {true, account.key, limit, left, account.now.until_full(wall)};
+    standing = {true, account.key, limit, left, bank_ != nullptr ? banked.reset : account.now.until_full(wall)};
   }
   return standing;
 }
@@ -245,6 +306,7 @@
     }
     account.budget = static_cast<std::size_t>(budget - options_.budgets.begin());
     const Rule rule = part_of(budget->rule);
+    if (bank_ != nullptr) bank_->change(account.place, rule);
     account.now = Limit(rule, account.now.state(wall), wall);
     account.durable = Limit(rule, account.durable.state(wall), wall);
     if (account.pending) account.pending = Limit(rule, account.pending->state(wall), wall);
@@ -264,6 +326,7 @@
 }
 
 bool Accounts::adjust(const std::string& key, Units units, Time wall) {
+  if (bank_ != nullptr) return false;  // the group's books are corrected
   const auto found = by_key_.find(key);
   if (found == by_key_.end()) {
     const auto kept = kept_.find(key);
--- a/src/budgets/accounts.hpp
+++ b/src/budgets/accounts.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "budgets/bank.hpp"
 #include "budgets/limit.hpp"
 
 namespace sprucecourse::budgets {
@@ -87,7 +88,12 @@
 class Accounts {
  public:
   // Throws std::invalid_argument where options make no sense. The journal is not owned; null: nothing is kept.
-  explicit Accounts(const Options& options, Journal* journal = nullptr);
+  // With a bank, which is not owned either, limits are several routers' together: it counts, and the journal is not used.
+  explicit Accounts(const Options& options, Journal* journal = nullptr, Bank* bank = nullptr);
+
+  // Opens the accounts of all that the options name, as far as they are few: with a bank, so that none is empty-handed when
+  // its first request comes.
+  void open_all(Time wall);
 
   // New limits under way: what was used of those that stay (same name and span) remains used. Reservations stay.
   void change(const Options& options, Time wall);
@@ -128,10 +134,12 @@
     Limit durable;                 // the newest mark that is known to be durable; full if there is none
     std::optional<Limit> pending;  // a mark on its way
     std::uint64_t pending_number = 0;
+    Bank::Place place = 0;         // at the bank, if there is one
   };
   using Places = std::vector<std::uint32_t>;
   struct Reservation {
     std::shared_ptr<const Places> places;
+    Places beyond;  // of them, soft ones where the bank gave nothing
     Units amount = 0;
     Time at = 0;
   };
@@ -142,11 +150,15 @@
   Rule part_of(const Rule& rule) const;
   Units block_of(const Rule& rule) const;
   void take_acknowledged(Account& account);
+  Grant reserve_at_bank(const std::shared_ptr<const Places>& places, Units amount, Time wall);
+  void settle_at_bank(const Reservation& reservation, Units used, Time wall);
+  Denial denial_of(std::uint32_t place, Units amount, Time wall);
   bool within_mark(Account& account, Units amount, Time wall);
   void mark(Account& account, Time wall);
 
   Options options_;
   Journal* journal_;
+  Bank* bank_;
   std::deque<Account> accounts_;
   absl::flat_hash_map<std::string, std::uint32_t> by_key_;
   absl::flat_hash_map<std::uint64_t, std::shared_ptr<const Places>> by_who_;
--- a/src/budgets/gate.hpp
+++ b/src/budgets/gate.hpp
@@ -36,7 +36,7 @@
 
 // What several gates share: one for each pool.
 struct Treasury {
-  explicit Treasury(const Options& options, Journal* journal = nullptr) : accounts(options, journal) {}
+  explicit Treasury(const Options& options, Journal* journal = nullptr, Bank* bank = nullptr) : accounts(options, journal, bank) {}
 
   Accounts accounts;
   std::vector<Price> prices;  // by the model's number, from 1 on; beyond, and for 0: the plain price
--- /dev/null
+++ b/src/node/group_copies.cpp
@@ -0,0 +1,313 @@
+#include "node/group_copies.hpp"
+
+#include <fmt/format.h>
+#include <glib.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+
+#include "logging/log.hpp"
+
+namespace sprucecourse {
+namespace {
+
+constexpr Time kTurn = 50'000;
+constexpr std::size_t kMostWords = 256;
+constexpr std::size_t kStorePart = 16;  // of the memory, for records on their way to the disk
+constexpr std::size_t kMostLines = 64;  // of accounts, in a status
+
+std::uint64_t drawn() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+double in_tokens(budgets::Units units) { return static_cast<double>(units) / budgets::kUnitsPerToken; }
+
+const char* name_of(copies::Stage stage) {
+  static constexpr const char* names[] = {"blank", "founding", "entering", "member"};
+  return names[static_cast<int>(stage)];
+}
+
+// The next word of a line; the line keeps the rest.
+std::string_view word(std::string_view& line) {
+  const auto end = std::min(line.find(' '), line.size());
+  const auto first = line.substr(0, end);
+  line.remove_prefix(std::min(line.size(), end + 1));
+  return first;
+}
+
+template <typename Number>
+std::optional<Number> number(std::string_view text) {
+  Number value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+GroupCopies::GroupCopies(const Config& config, const Membership& membership, net::Links& links, Till& till, std::uint8_t channel, std::uint32_t run)
+    : file_(config.added.copies), roster_(membership.roster), self_(membership.self), links_(links), till_(till), parcels_(channel), alive_(std::make_shared<GroupCopies*>(this)) {
+  parcels_.serve(links_);
+  // In the writing thread: only asks the loop to look.
+  const auto woken = [alive = alive_] {
+    g_idle_add_full(
+        G_PRIORITY_DEFAULT,
+        [](gpointer data) -> gboolean {
+          const auto& held = *static_cast<std::shared_ptr<GroupCopies*>*>(data);
+          if (*held != nullptr) (*held)->turn();
+          return G_SOURCE_REMOVE;
+        },
+        new std::shared_ptr<GroupCopies*>(alive), [](gpointer data) { delete static_cast<std::shared_ptr<GroupCopies*>*>(data); });
+  };
+  store_ = std::make_unique<keeping::CopiesStore>(store::FileOptions{.path = file_.file, .holder = config.name, .megabytes = file_.megabytes},
+                                                  std::max<std::size_t>(4 << 20, config.memory_mb * 1024 * 1024 / kStorePart), woken);
+  if (!store_->set_aside().empty()) logging::error("copies") << file_.file << " is damaged; set aside as " << store_->set_aside() << ", to be filled again by the others";
+  copies::Options options;
+  options.holder.self = options.purse.self = self_;
+  options.holder.roster = options.purse.roster = roster_;
+  options.holder.copies = options.purse.copies = file_.holders;
+  options.holder.lease = options.purse.lease = static_cast<Time>(file_.lease_s * 1e6);
+  options.holder.heartbeat = static_cast<Time>(file_.heartbeat_s * 1e6);
+  options.holder.election = 5 * options.holder.heartbeat;
+  options.holder.hello = std::max<Time>(200'000, 2 * options.holder.heartbeat);
+  options.purse.ledgers = copies::ledgers_for(roster_->size());
+  options.purse.run = run;
+  options.purse.block = config.added.budgets.block;
+  options.purse.patience = std::max<Time>(200'000, 4 * options.holder.heartbeat);
+  options.purse.overdraft = file_.without_majority == "lenient" ? file_.overdraft : 0;
+  copies_ = std::make_unique<copies::Copies>(
+      options,
+      copies::Copies::Surroundings{.records = [this](std::size_t ledger) -> copies::Records& { return store_->records(ledger); },
+                                   .stored = [this](std::size_t ledger, const copies::Visit& visit) { store_->stored(ledger, visit); },
+                                   .chance = drawn,
+                                   .send = [this](std::size_t member, std::string bytes) { parcels_.send(member, bytes); },
+                                   .say =
+                                       [](bool grave, const std::string& text) {
+                                         if (grave) logging::warning("copies") << text;
+                                         else logging::info("copies") << text;
+                                       }},
+      net::now_us());
+  store_->loaded();
+  want_links();
+  if (!copies::bears_loss_of_a_site(*roster_, options.purse.ledgers, file_.holders)) {
+    logging::warning("copies") << "these sites cannot bear the loss of any whole one: " << file_.holders << " copies need three sites";
+  }
+  logging::info("copies") << options.purse.ledgers << " ledgers with " << file_.holders << " copies each, " << copies_->holders().size() << " of them here; "
+                          << file_.without_majority << " without a majority";
+  till_.attach(&copies_->purse(), [this] { schedule(); });
+  turn();
+}
+
+GroupCopies::~GroupCopies() {
+  *alive_ = nullptr;
+  till_.attach(nullptr);
+}
+
+// With all holders of all ledgers: who leads changes, and a question should not wait for a connection.
+void GroupCopies::want_links() {
+  for (std::size_t ledger = 0; ledger < copies_->options().purse.ledgers; ++ledger) {
+    for (const std::size_t member : copies::holders_of(*roster_, ledger, file_.holders)) {
+      if (member != self_) links_.want(member, true);
+    }
+  }
+  for (const auto& [ledger, holder] : copies_->holders()) {
+    for (const std::size_t member : holder->wanted()) {
+      if (member != self_) links_.want(member, true);
+    }
+  }
+}
+
+// ---------------------------------------------------------------- turns of the loop
+
+void GroupCopies::turn() {
+  if (std::exchange(pumping_, true)) return;
+  const Time now = net::now_us();
+  copies_->durable(now, store_->durable());
+  copies_->tick(now);
+  store_->hand_over();
+  const auto figures = store_->figures();
+  if (figures.failing != failing_) {
+    failing_ = figures.failing;
+    if (failing_) logging::error("copies") << "cannot write its copies, and goes on trying: " << figures.problem;
+    else logging::info("copies") << "writes its copies again";
+  }
+  pumping_ = false;
+  ticks_at_ = 0;
+  schedule();
+}
+
+void GroupCopies::schedule() {
+  if (pumping_) return;
+  const Time now = net::now_us();
+  const Time wanted = std::min(now + kTurn, std::max(now, copies_->purse().next()));
+  if (ticks_at_ != 0 && ticks_at_ <= wanted) return;
+  ticks_at_ = wanted;
+  tick_.start(wanted - now, [this] { turn(); });
+}
+
+void GroupCopies::frame(std::size_t member, std::string_view bytes) {
+  parcels_.frame(member, bytes, [this, member](std::string_view whole) {
+    pumping_ = true;
+    copies_->heard(net::now_us(), member, whole);
+    pumping_ = false;
+    store_->hand_over();
+    schedule();
+  });
+}
+
+void GroupCopies::changed(std::size_t member, bool up) {
+  if (!up) parcels_.lost(member);
+}
+
+void GroupCopies::last_words(Time most) {
+  copies_->purse().leave(net::now_us());
+  const auto asked = copies_->purse().figures().answered + copies_->purse().figures().refused;
+  copies_->pump(net::now_us());
+  store_->hand_over();
+  const auto& figures = copies_->purse().figures();
+  bool over = false;
+  net::Timer end;
+  end.start(most, [&over] { over = true; });
+  while (!over && figures.answered + figures.refused < asked + copies_->purse().ledgers()) g_main_context_iteration(nullptr, TRUE);
+}
+
+// ---------------------------------------------------------------- status
+
+nlohmann::ordered_json GroupCopies::status_json() const {
+  using Json = nlohmann::ordered_json;
+  Json ledgers = Json::array();
+  for (const auto& [number, holder] : copies_->holders()) {
+    Json members = Json::array();
+    if (holder->consensus() != nullptr) {
+      for (const auto& m : holder->consensus()->members()) members.push_back({{"router", m.name}, {"copy", m.id}, {"votes", m.votes}});
+    }
+    Json wanted = Json::array();
+    for (const std::size_t m : holder->wanted()) wanted.push_back(roster_->at(m).name);
+    ledgers.push_back({{"ledger", number},
+                       {"stage", name_of(holder->stage())},
+                       {"leads", holder->leads()},
+                       {"leader", holder->leader_name()},
+                       {"copy", holder->process().id},
+                       {"start", holder->process().start},
+                       {"was_older", holder->was_older()},
+                       {"committed", holder->consensus() != nullptr ? holder->consensus()->committed() : 0},
+                       {"last", holder->consensus() != nullptr ? holder->consensus()->last() : 0},
+                       {"members", members},
+                       {"wanted", wanted},
+                       {"accounts", holder->ledger().accounts().size()},
+                       {"sessions", holder->ledger().sessions().size()}});
+  }
+  Json books = Json::array();
+  for (const auto& [number, holder] : copies_->holders()) {
+    for (const auto& [key, account] : holder->ledger().accounts()) {
+      for (const auto& [window, book] : account.windows) {
+        budgets::Units open = 0;
+        for (const auto& [session, lease] : book.leases) {
+          const auto state = holder->ledger().sessions().find(session);
+          if (state == holder->ledger().sessions().end() || state->second.expired) open += std::max<budgets::Units>(0, lease.granted - lease.used);
+        }
+        if (books.size() < kMostLines) {
+          books.push_back({{"ledger", number}, {"account", key}, {"window", window}, {"limit", in_tokens(book.amount)}, {"left", in_tokens(book.left)},
+                           {"charged", in_tokens(book.charged)}, {"in_hand", in_tokens(book.in_hand())}, {"open", in_tokens(open)},
+                           {"corrected", in_tokens(book.corrected)}});
+        }
+      }
+    }
+  }
+  Json purse = Json::array();
+  for (const auto& line : copies_->purse().lines()) {
+    if (purse.size() < kMostLines) {
+      purse.push_back({{"account", line.key}, {"window", line.window}, {"limit", in_tokens(line.limit)}, {"left", in_tokens(line.left)},
+                       {"in_hand", in_tokens(line.in_hand)}, {"used", in_tokens(line.used)}, {"reserved", in_tokens(line.reserved)}});
+    }
+  }
+  Json majority = Json::array();
+  for (std::size_t l = 0; l < copies_->purse().ledgers(); ++l) majority.push_back(copies_->purse().has_majority(l));
+  const auto& f = copies_->purse().figures();
+  const auto& m = copies_->figures();
+  const auto disk = store_->figures();
+  return {{"majority", majority},
+          {"without_majority", file_.without_majority},
+          {"ledgers", ledgers},
+          {"books", books},
+          {"purse", purse},
+          {"figures",
+           {{"asked", f.asked}, {"answered", f.answered}, {"refused", f.refused}, {"unanswered", f.unanswered}, {"behind", f.behind}, {"overdrawn", f.overdrawn},
+            {"sessions", f.sessions}, {"far_clock", f.far}, {"heard", m.heard}, {"sent", m.sent}, {"sent_bytes", m.sent_bytes}, {"unreadable", m.unreadable},
+            {"other_version", m.other_version}, {"parcels_lost", parcels_.figures().lost}, {"disk_batches", disk.batches}, {"disk_failing", disk.failing}}}};
+}
+
+std::string GroupCopies::status_text() const {
+  const auto status = status_json();
+  std::string text;
+  for (const auto& l : status.at("ledgers")) {
+    text += fmt::format("ledger {}: {}{}, {} of {} entries, led by {}\n", l.at("ledger").get<int>(), l.at("stage").get<std::string>(),
+                        l.at("leads").get<bool>() ? " and leads" : "", l.at("committed").get<std::uint64_t>(), l.at("last").get<std::uint64_t>(),
+                        l.at("leader").get<std::string>().empty() ? "nobody that is known here" : l.at("leader").get<std::string>());
+    for (const auto& m : l.at("members")) text += fmt::format("  copy at {}{}\n", m.at("router").get<std::string>(), m.at("votes").get<bool>() ? "" : ", being filled");
+  }
+  std::size_t at = 0;
+  for (const auto& m : status.at("majority")) {
+    if (!m.get<bool>()) text += fmt::format("NO MAJORITY of ledger {} answers: {}\n", at, file_.without_majority == "lenient" ? "budgets go on up to their overdraft" : "budgets refuse what is not in hand");
+    ++at;
+  }
+  for (const auto& b : status.at("books")) {
+    text += fmt::format("{} (window {}): {} left of {}, {} charged, {} in hands, of these {} open\n", b.at("account").get<std::string>(), b.at("window").get<std::int64_t>(),
+                        b.at("left").get<double>(), b.at("limit").get<double>(), b.at("charged").get<double>(), b.at("in_hand").get<double>(), b.at("open").get<double>());
+  }
+  for (const auto& p : status.at("purse")) {
+    text += fmt::format("here {} (window {}): {} in hand, {} reserved, {} used\n", p.at("account").get<std::string>(), p.at("window").get<std::int64_t>(), p.at("in_hand").get<double>(),
+                        p.at("reserved").get<double>(), p.at("used").get<double>());
+  }
+  return text;
+}
+
+// ---------------------------------------------------------------- operators
+
+void GroupCopies::decided(std::uint64_t id, bool yes, const std::string& why) {
+  words_[id] = yes ? "+OK yes" : why.empty() ? "-ERR not known: no answer came in time; ask again with the same id" : "-ERR no: " + why;
+  logging::info("copies") << "operator's word " << id << ": " << words_[id];
+}
+
+std::string GroupCopies::begin_correction(bool set, std::uint64_t id, double tokens, const std::string& account) {
+  const auto line = copies_->purse().account(account, net::now_us());
+  if (!line) return "-ERR no: there is no account '" + account + "'\n";
+  copies::Correction correction{id, set, static_cast<budgets::Units>(std::llround(tokens * budgets::kUnitsPerToken)), *line};
+  copies_->purse().correct(net::now_us(), correction, [this, id](bool yes, const std::string& why) { decided(id, yes, why); });
+  return "+OK pending\n";
+}
+
+std::string GroupCopies::begin_replace(std::uint64_t id, const std::string& old_name, const std::string& new_name) {
+  copies_->purse().replace(net::now_us(), {id, old_name, new_name}, [this, id](bool yes, const std::string& why) { decided(id, yes, why); });
+  return "+OK pending\n";
+}
+
+std::string GroupCopies::answer(std::string_view line) {
+  const auto call = word(line);
+  if (call == "COPIES") return line == "JSON" ? status_json().dump() + "\n" : status_text();
+  if (call != "GRANT" && call != "SET" && call != "REPLACE" && call != "CORRECTION") return {};
+  const auto id = number<std::uint64_t>(word(line));
+  if (!id || *id == 0) return "-ERR no: not an id\n";
+  if (call == "CORRECTION") {
+    const auto found = words_.find(*id);
+    return (found == words_.end() ? "-ERR no: no such id here" : found->second) + "\n";
+  }
+  if (words_.size() >= kMostWords) words_.erase(words_.begin());
+  words_[*id] = "+OK pending";
+  std::string answer;
+  if (call == "REPLACE") {
+    const std::string old_name(word(line));
+    answer = begin_replace(*id, old_name, std::string(line));
+  } else {
+    const auto tokens = number<double>(word(line));
+    answer = tokens && std::abs(*tokens) <= 1e15 ? begin_correction(call == "SET", *id, *tokens, std::string(line)) : "-ERR no: not a number of tokens\n";
+  }
+  if (answer.starts_with("-ERR")) words_.erase(*id);
+  schedule();
+  return answer;
+}
+
+}  // namespace sprucecourse
--- /dev/null
+++ b/src/node/group_copies.hpp
@@ -0,0 +1,60 @@
+// This router's copies of ledgers and its purse, joined to links, disk and loop.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "config.hpp"
+#include "copies/copies.hpp"
+#include "keeping/copies.hpp"
+#include "net/parcels.hpp"
+#include "node/meaning.hpp"
+#include "node/till.hpp"
+
+namespace sprucecourse {
+
+class GroupCopies {
+ public:
+  // The links and the till outlive it. Throws store::StoreError.
+  GroupCopies(const Config& config, const Membership& membership, net::Links& links, Till& till, std::uint8_t channel, std::uint32_t run);
+  ~GroupCopies();
+
+  void frame(std::size_t member, std::string_view bytes);
+  void room(std::size_t member) { parcels_.room(member); }
+  void changed(std::size_t member, bool up);
+  // A planned end: tells what was used and gives the rest back; waits so long for the holders' answers.
+  void last_words(Time most);
+
+  nlohmann::ordered_json status_json() const;
+  std::string status_text() const;
+  // GRANT, SET, REPLACE and CORRECTION of the local socket; empty: no such call.
+  std::string answer(std::string_view line);
+  const copies::Copies& copies() const { return *copies_; }
+
+ private:
+  void turn();
+  void schedule();
+  void want_links();
+  std::string begin_correction(bool set, std::uint64_t id, double tokens, const std::string& account);
+  std::string begin_replace(std::uint64_t id, const std::string& old_name, const std::string& new_name);
+  void decided(std::uint64_t id, bool yes, const std::string& why);
+
+  CopiesFile file_;
+  std::shared_ptr<const membership::Roster> roster_;
+  std::size_t self_;
+  net::Links& links_;
+  Till& till_;
+  net::Parcels parcels_;
+  std::unique_ptr<keeping::CopiesStore> store_;
+  std::unique_ptr<copies::Copies> copies_;
+  std::map<std::uint64_t, std::string> words_;  // of operators: what became of them; the oldest go
+  net::Timer tick_;
+  Time ticks_at_ = 0;
+  bool pumping_ = false, failing_ = false;
+  std::shared_ptr<GroupCopies*> alive_;  // for what the writing thread asks the loop to do later
+};
+
+}  // namespace sprucecourse
--- a/src/node/kept.cpp
+++ b/src/node/kept.cpp
@@ -59,10 +59,12 @@
 void Kept::open_budgets() {
   const BudgetsFile& file = config_.added.budgets;
   if (file.budgets.empty() && !file.fair) return;
-  if (keeper_ && !file.budgets.empty()) {
+  if (config_.added.copies.enabled && !file.budgets.empty()) till_ = std::make_unique<Till>();
+  if (keeper_ && !file.budgets.empty() && !till_) {
     budget_keeper_ = std::make_unique<keeping::BudgetKeeper>(keeper_->file(), keeper_->writer());
   }
-  treasury_ = std::make_unique<budgets::Treasury>(budget_options(config_), budget_keeper_.get());
+  treasury_ = std::make_unique<budgets::Treasury>(budget_options(config_), budget_keeper_.get(), till_.get());
+  if (till_) treasury_->accounts.open_all(net::now_us());
   price();
   if (file.charges) treasury_->on_charge = [this](const budgets::Charge& charge) { charged(charge); };
   if (budget_keeper_) {
--- a/src/node/kept.hpp
+++ b/src/node/kept.hpp
@@ -12,6 +12,7 @@
 #include "keeping/keeper.hpp"
 #include "models/pools.hpp"
 #include "net/loop.hpp"
+#include "node/till.hpp"
 
 namespace sprucecourse {
 
@@ -33,6 +34,7 @@
   const keeping::Keeper* keeper() const { return keeper_.get(); }
   affinity::Beliefs* beliefs() const { return beliefs_.get(); }
   budgets::Treasury* treasury() const { return treasury_.get(); }
+  Till* till() const { return till_.get(); }  // where budgets are the group's
   budgets::FairShare* fair() const { return fair_.get(); }
 
  private:
@@ -50,6 +52,7 @@
   std::unique_ptr<keeping::Keeper> keeper_;     // none unless the operator asks for it, or it cannot be opened
   std::unique_ptr<affinity::Beliefs> beliefs_;  // none unless the operator asks for it
   std::unique_ptr<keeping::BudgetKeeper> budget_keeper_;
+  std::unique_ptr<Till> till_;
   std::unique_ptr<budgets::Treasury> treasury_;  // none unless the operator asks for budgets or fair shares
   std::unique_ptr<budgets::FairShare> fair_;
   net::Timer store_tick_;
--- a/src/node/meaning.cpp
+++ b/src/node/meaning.cpp
@@ -50,6 +50,7 @@
   options.models = config.added.catalogue.names();
   options.part = config.settings.rank + 1;
   options.parts = std::max(config.settings.group_size, options.part);
+  if (config.added.copies.enabled) options.part = options.parts = 1;  // the group's books have whole limits
   options.block = file.block;
   options.soft_worth = file.soft_worth;
   options.most_accounts = file.accounts;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -171,6 +171,11 @@
   flows_->add(tally, route == nullptr ? std::string_view() : route->uid);
 }
 
+bool Node::save(Time most) {
+  if (others_) others_->last_words(most / 4);
+  return kept_.save(most);
+}
+
 std::string Node::uid_of(ReplicaId target) const {
   const net::Route* route = routes_.find(target);
   return route == nullptr ? std::to_string(target) : route->uid;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -52,7 +52,7 @@
   void wind_down();
 
   // What is believed is durable on return, or the time is over (microseconds; false). For a planned stop.
-  bool save(Time most) { return kept_.save(most); }
+  bool save(Time most);
 
   // One line of name=value.
   void print_counters(std::ostream& out) const;
--- a/src/node/others.cpp
+++ b/src/node/others.cpp
@@ -12,7 +12,7 @@
 namespace sprucecourse {
 namespace {
 
-constexpr std::uint8_t kViews = 1;  // channel
+constexpr std::uint8_t kViews = 1, kCopies = 2;  // channels
 constexpr std::size_t kNeighbours = 2;
 constexpr Time kViewPeriods = 10;
 
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-Others::Others(const Config& config) : membership_(membership_of(config)), file_(config.added.group), began_(net::now_us()) {
+Others::Others(const Config& config, Till* till) : membership_(membership_of(config)), file_(config.added.group), began_(net::now_us()) {
   const auto& roster = *membership_.roster;
   const Recalled recalled = recall_identity(file_.state);
   if (!recalled.problem.empty()) logging::error("group") << recalled.problem;
@@ -46,6 +46,7 @@
   links_ = std::make_unique<net::Links>(
       std::move(links), net::Links::Callbacks{.heard =
                                                   [this](std::size_t member, std::uint8_t channel, std::string_view bytes) {
+                                                    if (channel == kCopies && copies_) return copies_->frame(member, bytes);
                                                     const auto claims = membership::read_view(bytes, membership_.roster->size());
                                                     if (channel != kViews || !claims) return;
                                                     swim_->heard_view(net::now_us(), member, *claims);
@@ -54,11 +55,23 @@
                                               .changed =
                                                   [this](std::size_t member, bool up) {
                                                     logging::info("links") << (up ? "up with " : "lost with ") << membership_.roster->at(member).name;
+                                                    if (copies_) copies_->changed(member, up);
                                                     if (up) view_.start(0, [this] { tell_view(); });
+                                                  },
+                                              .room =
+                                                  [this](std::size_t member) {
+                                                    if (copies_) copies_->room(member);
                                                   }});
   for (std::size_t k = 1; file_.links && k <= kNeighbours && k < roster.size(); ++k) links_->want((membership_.self + k) % roster.size(), true);
+  if (config.added.copies.enabled && till != nullptr) {
+    try {
+      copies_ = std::make_unique<GroupCopies>(config, membership_, *links_, *till, kCopies, recalled.identity.run);
+    } catch (const store::StoreError& problem) {
+      logging::error("copies") << "nothing is copied, and budgets cannot be granted: " << problem.what();
+    }
+  }
   if (!file_.status.empty()) {
-    door_ = std::make_unique<net::Door>(net::listen_local(file_.status), "STATUS and STATUS JSON", [this](std::string_view line) { return answer(line); });
+    door_ = std::make_unique<net::Door>(net::listen_local(file_.status), "STATUS, STATUS JSON, COPIES, COPIES JSON, GRANT, SET, REPLACE and CORRECTION", [this](std::string_view line) { return answer(line); });
   }
   logging::info("group") << roster.at(membership_.self).name << " of group " << file_.name << ", " << roster.size() << " routers over "
                          << roster.sites().size() << " sites, speaks at " << logging::field("datagrams", datagrams_->address())
@@ -108,7 +121,14 @@
 
 // ---------------------------------------------------------------- status
 
-std::string Others::answer(std::string_view line) const {
+void Others::last_words(Time most) {
+  if (copies_) copies_->last_words(most);
+}
+
+std::string Others::answer(std::string_view line) {
+  if (copies_) {
+    if (std::string said = copies_->answer(line); !said.empty()) return said;
+  }
   if (line != "STATUS" && line != "STATUS JSON") return {};
   return status(line == "STATUS JSON");
 }
--- a/src/node/others.hpp
+++ b/src/node/others.hpp
@@ -10,6 +10,7 @@
 #include "net/datagrams.hpp"
 #include "net/door.hpp"
 #include "net/links.hpp"
+#include "node/group_copies.hpp"
 #include "node/meaning.hpp"
 
 namespace sprucecourse {
@@ -17,10 +18,13 @@
 class Others {
  public:
   // Speaks from then on. Throws BadConfig or NetError.
-  explicit Others(const Config& config);
+  // `till`: of this router's budgets; null: it has none.
+  explicit Others(const Config& config, Till* till = nullptr);
   ~Others();
 
   void leave();  // this router ends, and says so
+  // What is owed to other routers before the process ends; waits so long at the most (microseconds).
+  void last_words(Time most);
 
   // Text for people, or JSON.
   std::string status(bool json) const;
@@ -30,7 +34,7 @@
   void after();  // says what changed, sends what is to be sent, and sets the timer
   void arrived(std::span<const std::uint8_t> bytes);
   void tell_view();
-  std::string answer(std::string_view line) const;
+  std::string answer(std::string_view line);
 
   Membership membership_;
   GroupFile file_;
@@ -38,6 +42,7 @@
   std::unique_ptr<membership::Swim> swim_;
   std::unique_ptr<net::Datagrams> datagrams_;
   std::unique_ptr<net::Links> links_;
+  std::unique_ptr<GroupCopies> copies_;  // none unless the operator's file has them, or their file cannot be opened
   std::unique_ptr<net::Door> door_;
   net::Timer tick_, view_;
   bool empty_start_ = false;
--- a/src/node/succession.cpp
+++ b/src/node/succession.cpp
@@ -64,7 +64,7 @@
 void Node::open_group() {
   if (config_.added.group.name.empty() || others_) return;
   try {
-    others_ = std::make_unique<Others>(config_);
+    others_ = std::make_unique<Others>(config_, kept_.till());
   } catch (const net::NetError& problem) {
     if (!predecessor_ && !host_) throw;  // at the start it is an error; later the router serves on without
     logging::error("group") << "this router is not in its group: " << problem.what();
--- a/src/operator_file.cpp
+++ b/src/operator_file.cpp
@@ -157,6 +157,26 @@
   if (!file.self.empty() && !named) group.refuse("self", "no router is called '" + file.self + "'");
 }
 
+void read_copies(Root& all, CopiesFile& file, const GroupFile& group, Problems& problems) {
+  const auto* table = all.table("copies");
+  Section section(table, "copies", problems);
+  file.line = section.line();
+  section.flag("enabled", file.enabled);
+  section.text("file", file.file);
+  section.count("megabytes", file.megabytes, 1, 1 << 20);
+  section.count("holders", file.holders, 3, 5);
+  section.number("lease_s", file.lease_s, 0.5, 600);
+  section.number("heartbeat_s", file.heartbeat_s, 0.02, 10);
+  section.one_of("without_majority", file.without_majority, {"strict", "lenient"});
+  section.number("overdraft", file.overdraft, 0, 1);
+  if (!file.enabled) return;
+  if (file.holders == 4) section.refuse("holders", "three or five");
+  if (file.file.empty()) section.refuse("file", "there has to be one");
+  if (group.name.empty() || !group.links) section.refuse("enabled", "copies need a [group] with links");
+  if (group.routers.size() < file.holders) section.refuse("holders", "the group has fewer routers");
+  if (file.lease_s < 8 * file.heartbeat_s) section.refuse("lease_s", "less than eight heartbeats: it would end while another leader is chosen");
+}
+
 void read_sections(const toml::table& root, OperatorFile& file, Problems& problems) {
   Root all(root, problems);
   {
@@ -193,6 +213,7 @@
   read_catalogue(all, file.catalogue, problems);
   read_budgets(all, file.budgets, file.catalogue, problems);
   read_group(all, file.group, problems);
+  read_copies(all, file.copies, file.group, problems);
 }
 
 }  // namespace
@@ -201,7 +222,7 @@
   return messages_listen == o.messages_listen && target_dialect == o.target_dialect && targets == o.targets &&
          flow_collector == o.flow_collector && flow_domain == o.flow_domain && affinity == o.affinity &&
          store == o.store && catalogue.empty() == o.catalogue.empty() && budgets.fair == o.budgets.fair &&
-         budgets.budgets.empty() == o.budgets.budgets.empty() && group == o.group;
+         budgets.budgets.empty() == o.budgets.budgets.empty() && group == o.group && copies == o.copies;
 }
 
 OperatorFile read_operator_file(const std::string& path) {
--- a/src/operator_file.hpp
+++ b/src/operator_file.hpp
@@ -77,6 +77,21 @@
   bool operator==(const GroupFile&) const = default;
 };
 
+// [copies]: what this router holds for others is copied to further routers (docs/copies.md).
+struct CopiesFile {
+  bool enabled = false;
+  std::string file;                // of this router's copies; the ledgers' records
+  std::uint64_t megabytes = 64;    // its largest size
+  std::uint64_t holders = 3;       // of each ledger: 3 or 5
+  double lease_s = 6;              // for which a router may use what it has in hand without a holder's answer
+  double heartbeat_s = 0.25;       // of a ledger's leader; another is chosen after five to ten of them
+  std::string without_majority = "strict";  // or "lenient": beyond what is in hand, up to `overdraft`
+  double overdraft = 0.01;         // of each limit, for each router
+  std::uint32_t line = 0;
+
+  bool operator==(const CopiesFile&) const = default;
+};
+
 struct OperatorFile {
   std::string messages_listen;                 // empty: no second front
   std::string target_dialect = "platform";     // of egress targets that are not named
@@ -88,6 +103,7 @@
   models::Catalogue catalogue;
   BudgetsFile budgets;
   GroupFile group;
+  CopiesFile copies;
   std::string path;  // of the file itself, for what is found wrong later
 
   // All that only a restart can change.
--- /dev/null
+++ b/src/standins/copies_play.cpp
@@ -0,0 +1,235 @@
+#include "standins/copies_play.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+#include "emulator/chance.hpp"
+
+namespace sprucecourse::standins {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kAccount = "day|*|*|*";
+constexpr double kCorrection = 50;      // tokens that each takes
+constexpr Time kSecond = 1'000'000;
+constexpr Time kFills = 60 * kSecond, kFounds = 60 * kSecond, kDecides = 40 * kSecond, kUsesUp = 60 * kSecond;
+constexpr Time kQuiet = 3 * kSecond;    // without an answer: the budget is used up
+
+class Play {
+ public:
+  Play(const CopiesPlay& script, RigOptions options)
+      : script_(script), chance_(script.seed, emulator::Concern::troubles), rig_(with(script, std::move(options))) {}
+
+  CopiesPlayed run() {
+    if (const std::string broken = all(); !broken.empty()) played_.broken = broken;
+    played_.tokens = rig_.tokens();
+    const auto figures = rig_.figures();
+    played_.served = figures.served, played_.refused = figures.refused;
+    return played_;
+  }
+
+ private:
+  struct Asked {
+    std::uint64_t id = 0;
+    std::size_t router = 0;
+    bool yes = false;
+  };
+
+  static RigOptions with(const CopiesPlay& script, RigOptions options) {
+    options.routers = script.routers, options.sites = script.sites, options.seed = script.seed;
+    options.rate = 12;
+    options.more = fmt::format(
+        "[copies]\nenabled = true\nfile = \"{{disk}}/copies\"\nholders = {}\nlease_s = 1.5\nheartbeat_s = 0.1\n"
+        "[[budget]]\nname = \"day\"\nmember = \"all\"\nper = \"day\"\ntokens = {}\n",
+        script.copies, script.tokens);
+    return options;
+  }
+
+  std::string all() {
+    for (std::size_t i = 0; i < rig_.size(); ++i) rig_.start(i);
+    if (!rig_.until([this] { return unfilled().empty(); }, kFounds)) return "the ledger is not founded: " + unfilled();
+    for (int loss = 0; loss < 2; ++loss) {
+      pass(chance_.between(0.2, 1.2));
+      if (const auto broken = lose(); !broken.empty()) return broken;
+    }
+    if (!use_up()) return "the budget is not used up";
+    if (const auto broken = decide(); !broken.empty()) return broken;
+    if (const auto broken = judge(); !broken.empty()) return broken;
+    return rig_.settle();
+  }
+
+  void pass(double seconds) { rig_.run_for(static_cast<Time>(1e6 * seconds)); }
+
+  // ------------------------------------------------------------ losses
+
+  // As many machines as the copies bear, or a site's.
+  std::set<std::size_t> victims() {
+    std::set<std::size_t> chosen;
+    if (script_.site) {
+      const std::size_t site = chance_.below(script_.sites);
+      for (std::size_t i = site; i < rig_.size(); i += script_.sites) chosen.insert(i);
+      return chosen;
+    }
+    const std::size_t most = 1 + chance_.below(script_.copies / 2);
+    while (chosen.size() < most) chosen.insert(chance_.below(rig_.size()));
+    return chosen;
+  }
+
+  std::string lose() {
+    const auto lost = victims();
+    for (const std::size_t r : lost) rig_.kill(r), ++played_.kills;
+    correct();
+    const double before = rig_.tokens();
+    const Time at = net::now_us();
+    rig_.until([&] { return rig_.tokens() > before + 60; }, 5 * kSecond);
+    played_.leader_after_s = std::max(played_.leader_after_s, static_cast<double>(net::now_us() - at) / 1e6);
+    if (script_.faults) trouble(lost);
+    pass(chance_.between(0.1, 1.5));
+    correct();
+    const Time started = net::now_us();
+    if (!rig_.until([&] { return std::all_of(lost.begin(), lost.end(), [&](auto r) { return rig_.state(r) == Rig::State::down; }); })) return "a killed router does not end";
+    for (const std::size_t r : lost) rig_.start(r, DiskState::empty);
+    rig_.heal();
+    for (std::size_t i = 0; i < rig_.size(); ++i) rig_.go(i);
+    if (!rig_.until([this] { return unfilled().empty(); }, kFills)) return "a copy is not filled again: " + unfilled();
+    played_.filled_after_s = std::max(played_.filled_after_s, static_cast<double>(net::now_us() - started) / 1e6);
+    return {};
+  }
+
+  // Something else that happens to one of the others meanwhile, for less than it takes to be called gone for good.
+  void trouble(const std::set<std::size_t>& lost) {
+    std::size_t other = chance_.below(rig_.size());
+    while (lost.contains(other)) other = (other + 1) % rig_.size();
+    switch (chance_.below(4)) {
+      case 0: return rig_.stop(other);  // for longer than a lease
+      case 1: return rig_.isolate(other, true);
+      case 2:
+        for (std::size_t i = 0; i < rig_.size(); ++i) {
+          if (i != other) rig_.reset(i, other);
+        }
+        return;
+      default: {
+        WireFaults faults;
+        faults.lose = 0.2, faults.repeat = 0.2;
+        faults.least_delay = 0, faults.most_delay = 60'000;
+        for (std::size_t i = 0; i < rig_.size(); ++i) {
+          if (i != other) rig_.set(i, other, faults), rig_.set(other, i, faults);
+        }
+      }
+    }
+  }
+
+  // ------------------------------------------------------------ operators
+
+  void correct() {
+    std::vector<std::size_t> running;
+    for (std::size_t i = 0; i < rig_.size(); ++i) {
+      if (rig_.runs(i)) running.push_back(i);
+    }
+    if (running.empty()) return;
+    Asked asked{chance_.bits() | 1, running[chance_.below(running.size())], false};
+    if (!rig_.call(asked.router, fmt::format("GRANT {} {} {}", asked.id, -kCorrection, kAccount)).starts_with("+OK")) return;
+    asked_.push_back(asked);
+  }
+  // Until each correction has its word, or its router died with it.
+  std::string decide() {
+    rig_.until(
+        [this] {
+          bool open = false;
+          for (auto& a : asked_) {
+            const std::string said = rig_.call(a.router, fmt::format("CORRECTION {}", a.id));
+            a.yes = a.yes || said.starts_with("+OK yes");
+            open = open || said.starts_with("+OK pending");
+          }
+          return !open;
+        },
+        kDecides);
+    played_.corrections = asked_.size();
+    played_.confirmed = static_cast<std::size_t>(std::count_if(asked_.begin(), asked_.end(), [](const auto& a) { return a.yes; }));
+    return {};
+  }
+
+  // ------------------------------------------------------------ looking
+
+  Json copies(std::size_t router) const {
+    const std::string said = rig_.call(router, "COPIES JSON");
+    return Json::accept(said) ? Json::parse(said) : Json();
+  }
+  // Why not all copies are whole and vote; empty: they do.
+  std::string unfilled() const {
+    Json leader;
+    std::map<std::string, std::uint64_t> there;
+    for (std::size_t i = 0; i < rig_.size(); ++i) {
+      const Json own = copies(i);
+      if (!own.is_object()) return rig_.name(i) + " does not tell its copies";
+      for (const auto& l : own.at("ledgers")) {
+        there[rig_.name(i)] = l.at("copy").get<std::uint64_t>();
+        if (l.at("stage") != "member") return rig_.name(i) + " is " + l.at("stage").get<std::string>();
+        if (l.at("leads").get<bool>()) leader = l;
+      }
+    }
+    if (!leader.is_object()) return "nobody leads";
+    if (leader.at("members").size() != script_.copies) return fmt::format("{} members", leader.at("members").size());
+    for (const auto& m : leader.at("members")) {
+      if (!m.at("votes").get<bool>() || there[m.at("router").get<std::string>()] != m.at("copy").get<std::uint64_t>()) return m.at("router").get<std::string>() + " does not vote";
+    }
+    return {};
+  }
+
+  bool use_up() {
+    double seen = -1;
+    Time since = net::now_us();
+    return rig_.until(
+        [&] {
+          if (rig_.tokens() != seen) seen = rig_.tokens(), since = net::now_us();
+          return net::now_us() - since > kQuiet;
+        },
+        kUsesUp);
+  }
+
+  std::string judge() {
+    Json books;
+    for (std::size_t i = 0; i < rig_.size(); ++i) {
+      const Json own = copies(i);
+      if (!own.is_object()) continue;
+      for (const auto& l : own.at("ledgers")) {
+        if (l.at("leads").get<bool>()) books = own.at("books");
+      }
+    }
+    if (!books.is_array() || books.empty()) return "nobody has the books";
+    double limit = 0, charged = 0, in_hand = 0, corrected = 0;
+    std::size_t windows = 0;
+    for (const auto& b : books) {
+      if (b.at("charged").get<double>() + b.at("corrected").get<double>() == 0) continue;  // a window that has not begun, or has just
+      ++windows;
+      limit += b.at("limit").get<double>(), charged += b.at("charged").get<double>(), in_hand += b.at("in_hand").get<double>();
+      corrected += b.at("corrected").get<double>();
+    }
+    const double used = rig_.tokens();
+    played_.limit = limit + corrected;
+    if (used > limit + corrected + 1e-6) return fmt::format("the boxes tallied {}, the limit with its corrections is {}", used, limit + corrected);
+    if (charged + in_hand + 1e-6 < used) return fmt::format("the boxes tallied {}, the books have {} and {} open", used, charged, in_hand);
+    const auto times = static_cast<std::size_t>(-corrected / kCorrection + 0.5);
+    if (times < played_.confirmed || times > played_.corrections) {
+      return fmt::format("{} corrections asked for, {} answered with yes, {} hold", played_.corrections, played_.confirmed, times);
+    }
+    // Left unused: what was in hand of those that were lost, a block and open exchanges each, and of those that run.
+    if (windows == 1 && used < 0.75 * (limit + corrected)) return fmt::format("only {} of {} could be used", used, limit + corrected);
+    return {};
+  }
+
+  CopiesPlay script_;
+  emulator::Chance chance_;
+  std::vector<Asked> asked_;
+  CopiesPlayed played_;
+  Rig rig_;
+};
+
+}  // namespace
+
+CopiesPlayed play_losses(const CopiesPlay& script, RigOptions options) { return Play(script, std::move(options)).run(); }
+
+}  // namespace sprucecourse::standins
--- /dev/null
+++ b/src/standins/copies_play.hpp
@@ -0,0 +1,29 @@
+// Losses of machines with their disks, drawn from a seed and played on real processes that share budgets: what boxes tallied
+// is held against the limit and the group's books, and operators' corrections against what they were told.
+#pragma once
+
+#include <string>
+
+#include "standins/rig.hpp"
+
+namespace sprucecourse::standins {
+
+struct CopiesPlay {
+  std::uint64_t seed = 1;
+  std::size_t routers = 3, sites = 3, copies = 3;
+  double tokens = 9000;  // the day's, of all members together
+  bool faults = true;    // else machines are lost, and nothing else happens
+  bool site = false;     // a whole site is lost, instead of as many machines as the copies bear
+};
+
+struct CopiesPlayed {
+  std::string broken;  // the first thing that did not hold
+  std::size_t kills = 0, corrections = 0, confirmed = 0, served = 0, refused = 0;
+  double tokens = 0, limit = 0;      // as the boxes tallied; of all windows that were open, with corrections
+  double filled_after_s = 0, leader_after_s = 0;  // the longest: from an empty start to a vote; from a loss to a grant by another
+};
+
+// Program, folder, scenario and `say` are the caller's.
+CopiesPlayed play_losses(const CopiesPlay& script, RigOptions options);
+
+}  // namespace sprucecourse::standins
--- a/src/standins/installation.cpp
+++ b/src/standins/installation.cpp
@@ -181,6 +181,7 @@
       }
       if (report.said == Said::began) {
         ++owner_.figures_.begun;
+        owner_.options_.tallied(answer.prompt + answer.made);
         answer.begun = true;
         answer.kept = report.kept;
         line->write(stream_head());
--- a/src/standins/installation.hpp
+++ b/src/standins/installation.hpp
@@ -23,6 +23,8 @@
   std::string router_listen = "127.0.0.1:8080";
   // Each request that a box was sent: its id, and for how long the list has said by then that the box drains; 0: it does not.
   std::function<void(const std::string& id, Time draining)> asked = [](auto&, auto) {};
+  // Each answer that a box began: what it will tally for it, whether anybody stays to hear of it or not.
+  std::function<void(double tokens)> tallied = [](double) {};
 };
 
 class Installation {
--- a/src/standins/rig.cpp
+++ b/src/standins/rig.cpp
@@ -63,6 +63,7 @@
     const auto router = static_cast<std::size_t>(std::atoi(id.c_str() + 1));
     if (draining > grace + kDrainSlack && router < size() && runs(router) && routers_[router].away.empty()) ++late_to_draining_;
   };
+  boxes.tallied = [this](double tokens) { tokens_ += tokens; };
   installation_ = std::make_unique<Installation>(boxes);
   account_ = std::make_unique<Account>(
       Account::Options{.rate = std::max(0.01, options_.rate), .cls = boxes.scenario.classes.front().name, .member = boxes.scenario.members.front().name}, size());
@@ -109,6 +110,7 @@
   if (options_.door) config["ops"] = kLoopback;
   write_file(folder + "/config.json", config.dump(1));
   std::string file = options_.more;
+  for (auto at = file.find("{disk}"); at != std::string::npos; at = file.find("{disk}", at)) file.replace(at, 6, folder + "/disk");
   if (options_.group) {
     file += "\n[group]\nname = \"rig\"\nsites = [";
     for (std::size_t s = 0; s < options_.sites; ++s) file += fmt::format("{}\"site{}\"", s > 0 ? ", " : "", s);
@@ -418,15 +420,20 @@
   until([&] { return over; }, time + 60'000'000);
 }
 
-nlohmann::json Rig::status(std::size_t router) const {
+std::string Rig::call(std::size_t router, const std::string& line) const {
   if (!runs(router) || !options_.group) return {};
   try {
-    return nlohmann::json::parse(net::call_local(routers_[router].folder + "/status", "STATUS JSON", kAnswers));
-  } catch (const std::exception&) {
+    return net::call_local(routers_[router].folder + "/status", line, kAnswers);
+  } catch (const net::NetError&) {
     return {};
   }
 }
 
+nlohmann::json Rig::status(std::size_t router) const {
+  const std::string said = call(router, "STATUS JSON");
+  return nlohmann::json::accept(said) ? nlohmann::json::parse(said) : nlohmann::json();
+}
+
 std::string Rig::disagreement() const {
   for (std::size_t i = 0; options_.group && i < size(); ++i) {
     if (!runs(i)) continue;
--- a/src/standins/rig.hpp
+++ b/src/standins/rig.hpp
@@ -34,7 +34,7 @@
   bool door = false;                   // an operators' door, and with it the replacing of the process
   bool wires = true;                   // false: they reach each other straight, and no fault lies between them
   std::uint64_t seed = 1;
-  std::string more;                    // of each operator's file
+  std::string more;                    // of each operator's file; {disk} is the router's folder that stands for its disk
   // Each thing that happens, with seconds since the start.
   std::function<void(double at, const std::string& what)> say = [](auto, auto&) {};
 };
@@ -84,6 +84,10 @@
   void run_for(Time time);
   // A router's own word, asked anew. Empty where it does not run or does not answer.
   nlohmann::json status(std::size_t router) const;
+  // What it answers to a line at its local socket; empty where it does not.
+  std::string call(std::size_t router, const std::string& line) const;
+  // Of all answers that boxes began: as they tally them.
+  double tokens() const { return tokens_; }
   // What somebody holds that is not so; empty if all that run hold the same, and it is so.
   std::string disagreement() const;
 
@@ -147,6 +151,7 @@
   std::vector<Time> box_deaths_;
   bool news_ = true;  // something happened that may make a wait's condition hold
   std::size_t late_to_draining_ = 0;
+  double tokens_ = 0;
   std::size_t allowed_attempts_ = 1;
   double agreed_after_s_ = 0;
 };
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -100,6 +100,7 @@
       ++batches_;
       written_ += batch.changes.size();
       failing_ = false;
+      if (options_.written) options_.written();
       return;
     } catch (const StoreError& problem) {
       ++failures_;
--- a/src/store/writer.hpp
+++ b/src/store/writer.hpp
@@ -33,6 +33,7 @@
   std::chrono::milliseconds first_pause{250}, longest_pause{30'000};  // between tries after a failure
   // Runs in the thread before each write: tests make it slow, or throw StoreError.
   std::function<void()> before_write = {};
+  std::function<void()> written = {};  // runs in the thread after each batch that became durable
 };
 
 struct WriterFigures {
--- a/src/tools/models.cpp
+++ b/src/tools/models.cpp
@@ -1,5 +1,7 @@
 #include "tools/models.hpp"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <cmath>
 #include <iostream>
@@ -7,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "keeping/records.hpp"
+#include "tools/words.hpp"
 #include "operator_file.hpp"
 
 namespace sprucecourse::tools {
@@ -81,10 +84,12 @@
 struct Change {
   std::string path, account;
   double tokens = 0;
+  std::uint64_t id = 0;
 };
 
-// A running router holds its file, and then this says so.
+// A running router holds its file, and then this says so. Its local socket takes the same words, for the group's books.
 int change_budget(const Change& wanted, bool add) {
+  if (std::filesystem::is_socket(wanted.path)) return ask_running(wanted.path, add ? "GRANT" : "SET", wanted.id, fmt::format("{} {}", wanted.tokens, wanted.account));
   return guarded([&] {
     store::File file({.path = wanted.path, .holder = "thornwick budgets", .set_aside_damaged = false}, keeping::tables());
     std::optional<budgets::LimitState> found;
@@ -107,7 +112,8 @@
 void add_change(CLI::App& under, const std::string& name, const std::string& about, bool add, int& status) {
   auto change = std::make_shared<Change>();
   auto* command = under.add_subcommand(name, about);
-  command->add_option("FILE", change->path, "the store's file of a router that is stopped")->required();
+  command->add_option("FILE", change->path, "the store's file of a router that is stopped; or group.status of one that runs with [copies]")->required();
+  command->add_option("--id", change->id, "of an earlier try on a running router: it holds once");
   command->add_option("ACCOUNT", change->account, "as `budgets show` has it")->required();
   command->add_option("TOKENS", change->tokens, "at price 1")->required()->check(CLI::Range(-1e15, 1e15));
   command->callback([change, add, &status] { status = change_budget(*change, add); });
