--- a/src/copies/consensus.cpp
+++ b/src/copies/consensus.cpp
@@ -458,6 +458,17 @@
     m.entries.erase(m.entries.begin(), m.entries.begin() + static_cast<std::ptrdiff_t>(committed - m.a));
     m.a = committed, m.b = own;
   }
+  // Entries that stand in the log already, or that it will refuse: the library would not free them.
+  void skip_known(Message& m) const {
+    if (m.type != RAFT_IO_APPEND_ENTRIES) return;
+    const bool fits = m.term >= raft_.current_term && raft_.snapshot.put.data == nullptr && (m.a == 0 || (m.b != 0 && term_of(m.a) == m.b));
+    if (!fits) return m.entries.clear();
+    std::size_t known = 0;
+    while (known < m.entries.size() && m.a + known + 1 < next && term_of(m.a + known + 1) == m.entries[known].term) ++known;
+    if (known == 0) return;
+    m.a += known, m.b = m.entries[known - 1].term;
+    m.entries.erase(m.entries.begin(), m.entries.begin() + static_cast<std::ptrdiff_t>(known));
+  }
   // How far this log is known to be the leader's: the library answers with its end, whatever stands there.
   void verify(const Message& m) {
     if (m.type != RAFT_IO_APPEND_ENTRIES || m.term < raft_.current_term) return;
@@ -572,6 +583,7 @@
     Message words = unpacked<Message>(bytes);
     body_->skip_committed(words);
     body_->verify(words);
+    body_->skip_known(words);
     if (!fill(message, words)) return;
   } catch (const std::exception&) {
     return;
