Settle without copying the places of a reservation; one rule for the denial that lasts longest

Seen on reading: accounts.cpp, settle(): the choice between no places and all of them copied the list at each settlement, with copies off too; reserve_at_bank wrote the comparison of reserve() again. Models tests: all 37 cases pass.

--- a/src/budgets/accounts.cpp
+++ b/src/budgets/accounts.cpp
@@ -28,6 +28,9 @@
   return wanted == kAny ? "*" : name_in(names, has);
 }
 
+// The denial that lasts longest is the one that holds a request back; none to come back from lasts for ever.
+bool outlasts(const Denial& a, const Denial& b) { return !a.come_back || (b.come_back && *a.come_back > *b.come_back); }
+
 void check(const Options& options) {
   const auto refuse = [](const std::string& what) { throw std::invalid_argument("budgets: " + what); };
   if (options.part < 1 || options.part > options.parts) refuse("a part beyond the parts");
@@ -166,11 +169,7 @@
     if (behind) mark(account, wall);
     // When the journal is behind, it is so for about as long as it takes to be durable.
     denial.come_back = behind ? std::optional<Time>(1'000'000) : account.now.until(amount, wall);
-    // The one that lasts longest is the one that holds the request back.
-    const auto longer = [](const Denial& a, const Denial& b) {
-      return !a.come_back || (b.come_back && *a.come_back > *b.come_back);
-    };
-    if (!grant.denial || longer(denial, *grant.denial)) grant.denial = std::move(denial);
+    if (!grant.denial || outlasts(denial, *grant.denial)) grant.denial = std::move(denial);
   }
   if (grant.denial) {
     ++(grant.denial->behind ? figures_.behind : figures_.denied);
@@ -202,8 +201,7 @@
       taken.push_back(place);
     } else if (!options_.budgets[accounts_[place].budget].hard) {
       beyond.push_back(place);
-    } else if (Denial denial = denial_of(place, amount, wall);
-               !grant.denial || !denial.come_back || (grant.denial->come_back && *denial.come_back > *grant.denial->come_back)) {
+    } else if (Denial denial = denial_of(place, amount, wall); !grant.denial || outlasts(denial, *grant.denial)) {
       grant.denial = std::move(denial);
     }
   }
@@ -227,14 +225,8 @@
   }
 }
 
-void Accounts::settle(ReservationId id, Units used, Time wall) {
-  const auto found = reservations_.find(id);
-  if (found == reservations_.end()) return;
-  const Reservation r = std::move(found->second);
-  reservations_.erase(found);
-  used = std::clamp<Units>(used, 0, kMostUnits);
-  if (bank_ != nullptr) settle_at_bank(r, used, wall);
-  for (const std::uint32_t place : bank_ != nullptr ? Places{} : *r.places) {
+void Accounts::settle_here(const Reservation& r, Units used, Time wall) {
+  for (const std::uint32_t place : *r.places) {
     Account& account = accounts_[place];
     if (used <= r.amount) {
       account.now.give_back(r.amount - used, wall, r.at);
@@ -243,6 +235,15 @@
     }
     mark(account, wall);
   }
+}
+
+void Accounts::settle(ReservationId id, Units used, Time wall) {
+  const auto found = reservations_.find(id);
+  if (found == reservations_.end()) return;
+  const Reservation r = std::move(found->second);
+  reservations_.erase(found);
+  used = std::clamp<Units>(used, 0, kMostUnits);
+  bank_ != nullptr ? settle_at_bank(r, used, wall) : settle_here(r, used, wall);
   figures_.reserved = sum_of(figures_.reserved, -r.amount);
   figures_.charged = sum_of(figures_.charged, used);
   if (used > 0) ++figures_.charges;
--- a/src/budgets/accounts.hpp
+++ b/src/budgets/accounts.hpp
@@ -151,6 +151,7 @@
   Units block_of(const Rule& rule) const;
   void take_acknowledged(Account& account);
   Grant reserve_at_bank(const std::shared_ptr<const Places>& places, Units amount, Time wall);
+  void settle_here(const Reservation& reservation, Units used, Time wall);
   void settle_at_bank(const Reservation& reservation, Units used, Time wall);
   Denial denial_of(std::uint32_t place, Units amount, Time wall);
   bool within_mark(Account& account, Units amount, Time wall);
