Let nothing count as durable after a write of a copy that found no room

Seen on reading: CopiesStore noted a refused write in failed(), which nobody asked: the copy went on to acknowledge entries that were on no disk. Its mark is now one that never becomes durable, so nothing it says leaves the router.

--- a/src/keeping/copies.cpp
+++ b/src/keeping/copies.cpp
@@ -1,9 +1,12 @@
 #include "keeping/copies.hpp"
 
+#include <limits>
+
 namespace sprucecourse::keeping {
 namespace {
 
 constexpr std::uint8_t kTable = 0;
+constexpr std::uint64_t kNever = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t kMostRecords = 200'000;  // on their way to the disk
 
 store::WriterOptions options_for(std::size_t most_bytes, std::function<void()> wake) {
@@ -25,7 +28,8 @@
     const bool taken = value ? store.writer_.put(kTable, std::move(key), std::move(*value)) : store.writer_.erase(kTable, std::move(key));
     if (!taken) store.failed_ = true;
   }
-  std::uint64_t mark() override { return store.mark_; }
+  // What was refused is on no disk: nothing written since is ever durable, so this copy promises nothing more.
+  std::uint64_t mark() override { return store.failed_ ? kNever : store.mark_; }
   CopiesStore& store;
   std::string prefix;
 };
--- a/src/keeping/copies.hpp
+++ b/src/keeping/copies.hpp
@@ -27,7 +27,7 @@
 
   void hand_over() { writer_.hand_over(); }
   std::uint64_t durable() const { return writer_.durable(); }
-  // A write found no room: what is on disk is not what was written any more.
+  // A write found no room: what is on disk is not what was written any more, and nothing becomes durable until a new start.
   bool failed() const { return failed_; }
   store::WriterFigures figures() const { return writer_.figures(); }
   const std::string& set_aside() const { return file_.set_aside(); }
