Ask a last question until it is answered; take times of a budget from Limit; say refused writes

Seen on reading: leave() was forgotten by the next question (a refused last word was followed by one that drew holds again), and the end waited its whole time where a ledger had no accounts; standing() wrote Limit::until and until_full again. A member that was always set, a kind that nobody read, and a check that replace() lacked.

--- a/src/copies/purse.cpp
+++ b/src/copies/purse.cpp
@@ -24,7 +24,6 @@
     channels_[i].holders = holders_of(*options_.roster, i, options_.copies);
     channels_[i].target = options_.self % std::max<std::size_t>(1, channels_[i].holders.size());
     channels_[i].run = options_.run + static_cast<std::uint32_t>(i);
-    channels_[i].silent_since = now;
   }
 }
 
@@ -117,35 +116,24 @@
   const auto found = account.leases.find(window_of(account, wall));
   const bool known = found != account.leases.end() && found->second.known;
   const Units left = known ? std::max<Units>(0, found->second.left + found->second.in_hand()) : account.rule.amount;
-  Standing standing;
-  standing.left = left;
-  if (account.rule.span == budgets::Span::bucket) {
-    const Units missing = account.rule.amount - left;
-    standing.reset = account.rule.per_s > 0 ? static_cast<Time>(1e6 * static_cast<double>(missing) / static_cast<double>(account.rule.per_s)) : 0;
-  } else {
-    const Time length = budgets::length_of(account.rule.span);
-    standing.reset = left == account.rule.amount ? 0 : length - wall % length;
-  }
-  if (wanted > account.rule.amount) return standing;
-  standing.behind = left >= wanted;
-  if (standing.behind) {
-    standing.come_back = kBehind;
-  } else if (account.rule.span != budgets::Span::bucket) {
-    const Time length = budgets::length_of(account.rule.span);
-    standing.come_back = length - wall % length;
-  } else if (account.rule.per_s > 0) {
-    standing.come_back = std::max<Time>(kBehind, static_cast<Time>(1e6 * static_cast<double>(wanted - left) / static_cast<double>(account.rule.per_s)));
-  }
+  budgets::Limit limit(account.rule, {account.rule.amount, left, wall}, wall);
+  Standing standing{.left = left, .reset = limit.until_full(wall), .come_back = limit.until(wanted, wall), .behind = left >= wanted};
+  // What is on its way, and a refill, are not there at once.
+  if (standing.come_back && (standing.behind || account.rule.span == budgets::Span::bucket)) standing.come_back = std::max(kBehind, *standing.come_back);
   return standing;
 }
 
+AskLine Purse::line_about(const Account& account, std::int64_t window) {
+  AskLine line;
+  line.key = account.key, line.span = static_cast<std::uint8_t>(account.rule.span), line.amount = account.rule.amount;
+  line.per_s = account.rule.per_s, line.window = window;
+  return line;
+}
+
 std::optional<AskLine> Purse::account(const std::string& key, Time wall) const {
   for (const auto& account : accounts_) {
     if (account.key != key) continue;
-    AskLine line;
-    line.key = key, line.span = static_cast<std::uint8_t>(account.rule.span), line.amount = account.rule.amount;
-    line.per_s = account.rule.per_s, line.window = window_of(account, wall);
-    return line;
+    return line_about(account, window_of(account, wall));
   }
   return std::nullopt;
 }
@@ -178,9 +166,8 @@
 }
 
 AskLine Purse::line_of(Account& account, std::int64_t window, Lease& lease) {
-  AskLine line;
-  line.key = account.key, line.span = static_cast<std::uint8_t>(account.rule.span), line.amount = account.rule.amount;
-  line.per_s = account.rule.per_s, line.window = window, line.used = lease.used;
+  AskLine line = line_about(account, window);
+  line.used = lease.used;
   const bool past = account.rule.span != budgets::Span::bucket && window < window_of(account, now_);
   // Who has not asked for a lease's time gives back what others may need, but for the next request.
   const bool idle = account.wanted_at != 0 && now_ - account.wanted_at > options_.lease;
@@ -196,7 +183,7 @@
   return line;
 }
 
-void Purse::ask(std::size_t ledger, bool last) {
+void Purse::ask(std::size_t ledger) {
   Channel& channel = channels_[ledger];
   Ask ask;
   ask.session = session_of(options_.roster->id_of(options_.self), channel.run);
@@ -204,17 +191,17 @@
   ask.begins = channel.begins;
   channel.urgent = false;
   int extra = kExtraLines;
-  ask.last = last;
+  ask.last = leaving_;
   channel.lines.clear();
   for (std::size_t i = 0; i < channel.accounts.size() && ask.lines.size() + 3 <= kMostLines; ++i) {
     const Place place = channel.accounts[channel.at++ % channel.accounts.size()];
     Account& account = accounts_[place];
     prepare(account, now_);
-    const bool due = last || extra-- > 0 || account.dirty || std::any_of(account.leases.begin(), account.leases.end(), [](const auto& l) { return !l.second.known; });
+    const bool due = leaving_ || extra-- > 0 || account.dirty || std::any_of(account.leases.begin(), account.leases.end(), [](const auto& l) { return !l.second.known; });
     if (!due) continue;
     for (auto& [window, lease] : account.leases) {
       ask.lines.push_back(line_of(account, window, lease));
-      if (last) ask.lines.back().hold = 0;
+      if (leaving_) ask.lines.back().hold = 0;
       channel.lines.emplace_back(place, window);
     }
     account.dirty = false;
@@ -231,11 +218,13 @@
   Channel& channel = channels_[ledger];
   if (!channel.open || answer.number != channel.number) return;  // of an earlier question: its place was taken
   channel.open = false;
+  channel.over = leaving_;
+  if (channel.over) return;
   if (answer.stranger || answer.lines.size() != channel.lines.size()) return begin_session(channel);
   ++figures_.answered;
   channel.begins = false;
   if (!channel.answered) {
-    if (channel.silent_since != 0) around_.say(false, "a majority of the holders of ledger " + std::to_string(ledger) + " answers");
+    around_.say(false, "a majority of the holders of ledger " + std::to_string(ledger) + " answers");
     for (const Place place : channel.accounts) accounts_[place].overdrawn = 0;
   }
   channel.answered = true;
@@ -281,7 +270,6 @@
   ++channel.target;
   if (channel.answered && now_ >= channel.lease_until) {
     channel.answered = false;
-    channel.silent_since = now_;
     around_.say(true, std::string("no majority of the holders answers: ") +
                           (options_.overdraft > 0 ? "budgets go on up to their overdraft" : "budgets refuse all that is not in hand"));
   }
@@ -313,9 +301,9 @@
   now_ = std::max(now_, now);
   for (std::size_t i = 0; i < channels_.size(); ++i) {
     Channel& channel = channels_[i];
-    if (channel.accounts.empty() || now_ < channel.due) continue;
+    if (channel.accounts.empty() || channel.over || now_ < channel.due) continue;
     if (channel.open) ++figures_.unanswered, lost(channel);
-    ask(i, false);
+    ask(i);
   }
   for (std::size_t i = 0; i < words_.size();) {
     Word& word = words_[i];
@@ -339,18 +327,23 @@
 void Purse::plan() {
   next_ = now_ + options_.lease;
   for (const auto& channel : channels_) {
-    if (!channel.accounts.empty()) next_ = std::min(next_, channel.due);
+    if (!channel.accounts.empty() && !channel.over) next_ = std::min(next_, channel.due);
   }
   for (const auto& word : words_) next_ = std::min({next_, word.again, word.until});
 }
 
 void Purse::leave(Time now) {
   now_ = std::max(now_, now);
+  leaving_ = true;
   for (std::size_t i = 0; i < channels_.size(); ++i) {
-    if (!channels_[i].accounts.empty()) ask(i, true);
+    if (!channels_[i].accounts.empty()) ask(i);
   }
 }
 
+bool Purse::has_left() const {
+  return std::all_of(channels_.begin(), channels_.end(), [](const Channel& channel) { return channel.accounts.empty() || channel.over; });
+}
+
 void Purse::heard(Time now, std::size_t, std::size_t ledger, Kind kind, std::string_view body) {
   now_ = std::max(now_, now);
   if (ledger >= channels_.size()) return;
@@ -373,12 +366,13 @@
   now_ = std::max(now_, now);
   if (words_.size() >= kMostWords) return done(false, "too many corrections at a time");
   const std::size_t ledger = ledger_of(correction.account.key, channels_.size());
-  words_.push_back({correction.id, ledger, Kind::correct, write(Kind::correct, ledger, correction), now_ + kWordWithin, now_, std::move(done)});
+  words_.push_back({correction.id, ledger, write(Kind::correct, ledger, correction), now_ + kWordWithin, now_, std::move(done)});
   next_ = now_;
 }
 
 void Purse::replace(Time now, const Replace& words, std::function<void(bool, const std::string&)> done) {
   now_ = std::max(now_, now);
+  if (words_.size() + channels_.size() > kMostWords) return done(false, "too many corrections at a time");
   struct All {
     std::size_t left = 0;
     bool yes = true;
@@ -386,7 +380,7 @@
   };
   auto all = std::make_shared<All>(All{channels_.size(), true, ""});
   for (std::size_t i = 0; i < channels_.size(); ++i) {
-    words_.push_back({words.id, i, Kind::replace, write(Kind::replace, i, words), now_ + kWordWithin, now_, [all, done](bool yes, const std::string& why) {
+    words_.push_back({words.id, i, write(Kind::replace, i, words), now_ + kWordWithin, now_, [all, done](bool yes, const std::string& why) {
                         if (!yes) all->yes = false, all->why = why;
                         if (--all->left == 0) done(all->yes, all->why);
                       }});
--- a/src/copies/purse.hpp
+++ b/src/copies/purse.hpp
@@ -52,6 +52,7 @@
   void heard(Time now, std::size_t member, std::size_t ledger, Kind kind, std::string_view body);
   // A planned end: everything is reported and given back, as far as one message does it.
   void leave(Time now);
+  bool has_left() const;  // and each ledger has answered that
 
   // An operator's words to a running router. `done` is called once: yes, or why not ("" with no: it is not known).
   void correct(Time now, Correction correction, std::function<void(bool yes, const std::string& why)> done);
@@ -95,18 +96,17 @@
     std::uint32_t run = 0;
     bool open = false, answered = false, urgent = false;
     bool begins = true;            // nothing of the session was answered yet
+    bool over = false;             // its last word was answered
     Time sent = 0, lease_until = 0, due = 0;
     std::vector<std::pair<Place, std::int64_t>> lines;  // of the question on its way
     std::size_t target = 0;        // in `holders`
     std::vector<std::size_t> holders;
     std::vector<Place> accounts;
     std::size_t at = 0;            // whose turn it is
-    Time silent_since = 0;
   };
   struct Word {  // of an operator, on its way
     std::uint64_t id = 0;
     std::size_t ledger = 0;
-    Kind kind = Kind::correct;
     std::string envelope;
     Time until = 0, again = 0;
     std::function<void(bool, const std::string&)> done;
@@ -118,7 +118,8 @@
   bool within_lease(const Channel& channel) const;
   void want(Place place, bool urgent);
   void prepare(Account& account, Time wall);
-  void ask(std::size_t ledger, bool last);
+  void ask(std::size_t ledger);
+  static AskLine line_about(const Account& account, std::int64_t window);
   AskLine line_of(Account& account, std::int64_t window, Lease& lease);
   void answered(std::size_t ledger, const Answer& answer);
   void refused(std::size_t ledger, const Refused& refused);
@@ -132,6 +133,7 @@
   std::deque<Account> accounts_;
   std::vector<Channel> channels_;
   std::deque<Word> words_;
+  bool leaving_ = false;
   PurseFigures figures_;
 };
 
--- a/src/node/group_copies.cpp
+++ b/src/node/group_copies.cpp
@@ -134,6 +134,9 @@
     if (failing_) logging::error("copies") << "cannot write its copies, and goes on trying: " << figures.problem;
     else logging::info("copies") << "writes its copies again";
   }
+  if (store_->failed() && !std::exchange(failed_, true)) {
+    logging::error("copies") << "what its copies have to write found no room: they count no more until this router starts again";
+  }
   pumping_ = false;
   ticks_at_ = 0;
   schedule();
@@ -164,14 +167,12 @@
 
 void GroupCopies::last_words(Time most) {
   copies_->purse().leave(net::now_us());
-  const auto asked = copies_->purse().figures().answered + copies_->purse().figures().refused;
   copies_->pump(net::now_us());
   store_->hand_over();
-  const auto& figures = copies_->purse().figures();
   bool over = false;
   net::Timer end;
   end.start(most, [&over] { over = true; });
-  while (!over && figures.answered + figures.refused < asked + copies_->purse().ledgers()) g_main_context_iteration(nullptr, TRUE);
+  while (!over && !copies_->purse().has_left()) g_main_context_iteration(nullptr, TRUE);
 }
 
 // ---------------------------------------------------------------- status
--- a/src/node/group_copies.hpp
+++ b/src/node/group_copies.hpp
@@ -53,7 +53,7 @@
   std::map<std::uint64_t, std::string> words_;  // of operators: what became of them; the oldest go
   net::Timer tick_;
   Time ticks_at_ = 0;
-  bool pumping_ = false, failing_ = false;
+  bool pumping_ = false, failing_ = false, failed_ = false;
   std::shared_ptr<GroupCopies*> alive_;  // for what the writing thread asks the loop to do later
 };
 
