Place copies once and follow replacements with links; one packing, one comparison of processes

Seen on reading: - holders_of() was worked out anew for each hello, refusal and duty (a sort over all routers); now when the books name a replacement. - links were wanted once, at the start: a router that took another's place was reached only if it was a neighbour by chance.

--- a/src/copies/consensus.cpp
+++ b/src/copies/consensus.cpp
@@ -8,8 +8,8 @@
 #include <cstring>
 #include <deque>
 #include <map>
-#include <msgpack.hpp>
-#include <tuple>
+
+#include "copies/packing.hpp"
 
 namespace sprucecourse::copies {
 namespace {
@@ -53,17 +53,6 @@
   MSGPACK_DEFINE(type, term, a, b, c, yes, pre, tri, entries, servers, data)
 };
 
-template <typename T>
-std::string packed(const T& value) {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, value);
-  return {buffer.data(), buffer.size()};
-}
-template <typename T>
-T unpacked(std::string_view bytes) {
-  return msgpack::unpack(bytes.data(), bytes.size()).get().as<T>();
-}
-
 // Keys sort as their numbers do.
 std::string numbered(char kind, std::uint64_t number, std::uint64_t second = 0, bool two = false) {
   std::string key(1, kind);
@@ -320,6 +309,12 @@
     return 0;
   }
 
+  void drop_parts() {  // of the snapshot that is on disk
+    for (std::size_t at = 0; at < snapshot_data.size(); at += kPartSize) {
+      records().write(numbered(kPart, snapshot.generation, at / kPartSize, true), std::nullopt);
+    }
+  }
+
   int put_snapshot(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot* s, raft_io_snapshot_put_cb done) {
     Snapshot fresh{s->index, s->term, s->configuration_index, snapshot.generation + 1, 0, servers_of(s->configuration)};
     std::string data;
@@ -329,14 +324,11 @@
       records().write(numbered(kPart, fresh.generation, at / kPartSize, true), data.substr(at, kPartSize));
     }
     records().write(std::string(kSnapshot), packed(fresh));
-    for (std::size_t at = 0; at < snapshot_data.size(); at += kPartSize) {
-      records().write(numbered(kPart, snapshot.generation, at / kPartSize, true), std::nullopt);
-    }
+    drop_parts();
     // An installed one (no trail) stands for the whole log.
     const std::uint64_t keep = trailing == 0 ? next : fresh.index > trailing ? fresh.index - trailing + 1 : 1;
     for (; first < std::min(keep, next); ++first) records().write(numbered(kEntry, first), std::nullopt);
-    if (trailing == 0) first = next = fresh.index + 1;
-    if (next == fresh.index + 1 && trailing == 0) last_term = fresh.term;
+    if (trailing == 0) first = next = fresh.index + 1, last_term = fresh.term;
     snapshot = std::move(fresh), snapshot_data = std::move(data);
     stored_when_durable();
     when_durable([request, done](int status) { done(request, status); });
@@ -441,12 +433,14 @@
     if (raft_start(&raft_) != 0) problem = raft_errmsg(&raft_);
     pump();
   }
+  // Of the log in memory, which has it.
+  const raft_entry& entry_at(std::uint64_t index) const { return raft_.log.entries[(raft_.log.front + index - raft_.log.offset - 1) % raft_.log.size]; }
   // 0: not in the log.
   std::uint64_t term_of(std::uint64_t index) const {
     const raft_log& log = raft_.log;
     if (index == log.snapshot.last_index) return log.snapshot.last_term;
     if (index <= log.offset || index >= next) return 0;
-    return log.entries[(log.front + index - log.offset - 1) % log.size].term;
+    return entry_at(index).term;
   }
 
   // What is committed is the same everywhere, though this copy may have cut it off its log already: the library would refuse
@@ -494,9 +488,8 @@
   }
 
   void begin_anew(std::uint64_t cut) {
-    const raft_log& log = raft_.log;
     loaded.clear();
-    for (std::uint64_t index = log.offset + 1; index < cut; ++index) loaded[index] = entry_of(log.entries[(log.front + index - log.offset - 1) % log.size]);
+    for (std::uint64_t index = raft_.log.offset + 1; index < cut; ++index) loaded[index] = entry_of(entry_at(index));
     truncate(cut);
     raft_close(&raft_, [](struct raft*) {});
     raft_ = {}, io = {}, fsm = {};
@@ -538,7 +531,7 @@
   return key == kVote || key == kSnapshot || (key.size() == 9 && key[0] == kEntry) || (key.size() == 17 && key[0] == kPart);
 }
 
-void Consensus::found(Records& records, std::vector<CopyMember> members) {
+std::map<std::string, std::string> Consensus::founding(std::vector<CopyMember> members) {
   std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
   std::vector<Server> servers;
   for (const auto& m : members) servers.push_back({m.id, address_of(m.id, m.name), RAFT_VOTER});
@@ -546,16 +539,17 @@
   fill(configuration, servers);
   raft_buffer buffer{};
   raft_configuration_encode(&configuration, &buffer);
-  records.write(numbered(kEntry, 1), packed(Entry{1, RAFT_CHANGE, std::string(static_cast<const char*>(buffer.base), buffer.len)}));
-  records.write(std::string(kVote), packed(Vote{1, 0}));
+  std::map<std::string, std::string> records = {{numbered(kEntry, 1), packed(Entry{1, RAFT_CHANGE, std::string(static_cast<const char*>(buffer.base), buffer.len)})},
+                                                {std::string(kVote), packed(Vote{1, 0})}};
   raft_free(buffer.base);
   raft_configuration_close(&configuration);
+  return records;
 }
 
 void Consensus::erase() {
   Body& b = *body_;
   for (std::uint64_t index = b.first; index < b.next; ++index) b.records().write(numbered(kEntry, index), std::nullopt);
-  for (std::size_t at = 0; at < b.snapshot_data.size(); at += kPartSize) b.records().write(numbered(kPart, b.snapshot.generation, at / kPartSize, true), std::nullopt);
+  b.drop_parts();
   b.records().write(std::string(kSnapshot), std::nullopt);
   b.records().write(std::string(kVote), std::nullopt);
   b.problem = "it was given up";
--- a/src/copies/consensus.hpp
+++ b/src/copies/consensus.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,8 +72,8 @@
   // `stored` calls back with each record of this copy that is on disk, in the order of their keys.
   Consensus(Options options, Surroundings surroundings, const std::function<void(const Visit&)>& stored, Time now);
   ~Consensus();
-  // Writes what a copy begins with that founds its log together with all of these, alike.
-  static void found(Records& records, std::vector<CopyMember> members);
+  // The records with which a copy begins that founds its log together with all of these, the same at each of them.
+  static std::map<std::string, std::string> founding(std::vector<CopyMember> members);
   // Whether a record is one of a log's own, and whether there is a log at all among them.
   static bool own(std::string_view key);
   // Of records that no log has been begun from yet.
--- a/src/copies/holder.cpp
+++ b/src/copies/holder.cpp
@@ -21,11 +21,10 @@
   MSGPACK_DEFINE(id, start, stage, founders)
 };
 
-template <typename T>
-std::string packed(const T& value) {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, value);
-  return {buffer.data(), buffer.size()};
+std::function<void(const Visit&)> visiting(const std::map<std::string, std::string>& records) {
+  return [&records](const Visit& visit) {
+    for (const auto& [key, value] : records) visit(key, value);
+  };
 }
 
 }  // namespace
@@ -54,15 +53,14 @@
       log_keys_.emplace_back(key);
     }
   });
+  place();
   process_.run = static_cast<std::uint32_t>(around_.chance()) | 1;
   if (any && (!readable || process_.id == 0)) return forget("its records cannot be read");
   if (process_.id == 0) process_.id = around_.chance() | 1;
   if (stage_ == Stage::member) {
     stage_ = Stage::entering;
     try {
-      process_.set(Consensus::position([this](const Visit& visit) {
-        for (const auto& [key, value] : kept_) visit(key, value);
-      }));
+      process_.set(Consensus::position(visiting(kept_)));
     } catch (const std::exception&) {
       return forget("its records cannot be read");
     }
@@ -94,8 +92,8 @@
   put_meta();
 }
 
-void Holder::take_part(Stage stage, const std::function<void(const Visit&)>& stored) {
-  stage_ = stage;
+void Holder::take_part(const std::map<std::string, std::string>& log) {
+  stage_ = Stage::member;
   put_meta();
   Consensus::Options options;
   options.id = process_.id, options.name = name_of(options_.self);
@@ -117,9 +115,11 @@
                               .restore =
                                   [this](std::string_view bytes) {
                                     sessions_heard_.clear();
-                                    return ledger_.restore(bytes);
+                                    if (!ledger_.restore(bytes)) return false;
+                                    place();
+                                    return true;
                                   }},
-      stored, now_);
+      visiting(log), now_);
   consensus_->durable(now_, durable_);
   if (!consensus_->problem().empty()) forget_soon_ = true;
 }
@@ -132,12 +132,17 @@
 
 // ---------------------------------------------------------------- hellos
 
-std::vector<std::size_t> Holder::wanted() const {
-  return holders_of(*options_.roster, options_.ledger, options_.copies, ledger_.replaced().empty() ? replaced_ : ledger_.replaced());
+// What the books say of routers that were replaced is kept beside them: a start has to know whom to ask before it has books.
+void Holder::place() {
+  if (!ledger_.replaced().empty() && ledger_.replaced() != replaced_) {
+    replaced_ = ledger_.replaced();
+    around_.records.write(std::string(kReplaced), packed(replaced_));
+  }
+  wanted_ = holders_of(*options_.roster, options_.ledger, options_.copies, replaced_);
 }
 
 std::vector<std::size_t> Holder::others() const {
-  auto all = wanted();
+  auto all = wanted_;
   std::erase(all, options_.self);
   return all;
 }
@@ -152,7 +157,7 @@
   const auto note = notes_.find(name_of(member));
   if (note != notes_.end() && note->second.mark <= durable_) hello.of_you = note->second.process;
   if (leads()) {
-    for (const std::size_t m : wanted()) hello.wanted.push_back(name_of(m));
+    for (const std::size_t m : wanted_) hello.wanted.push_back(name_of(m));
   }
   around_.send(member, write(Kind::hello, options_.ledger, hello));
 }
@@ -162,8 +167,7 @@
   if (!leads()) return;
   for (const auto& m : consensus_->members()) {  // those that are to go, too
     const std::size_t member = options_.roster->find(m.name);
-    const auto all = wanted();
-    if (member != options_.roster->size() && std::find(all.begin(), all.end(), member) == all.end()) hello(member);
+    if (member != options_.roster->size() && std::find(wanted_.begin(), wanted_.end(), member) == wanted_.end()) hello(member);
   }
 }
 
@@ -177,36 +181,41 @@
   }
 }
 
+const Holder::Note* Holder::recent(const std::string& name) const {
+  const auto note = notes_.find(name);
+  return note == notes_.end() || note->second.heard == 0 || now_ - note->second.heard > kRecent ? nullptr : &note->second;
+}
+
 bool Holder::older_than(const Process& noted) const {
-  if (noted.id != process_.id) return false;
-  if (noted.start > process_.start || (noted.start == process_.start && noted.run != process_.run)) return true;
-  return stage_ == Stage::entering && process_.position().behind(noted.position());
+  if (process_.followed_by(noted)) return true;
+  return noted.id == process_.id && stage_ == Stage::entering && process_.position().behind(noted.position());
 }
 
 void Holder::heard_hello(std::size_t member, const Hello& hello) {
   Note& note = notes_[name_of(member)];
   const Process& p = hello.process;
-  const bool same = note.process.id == p.id && note.process.start == p.start && note.process.run == p.run;
   // The word of a process that another one of the same disk has followed is of the past: nothing is noted of it, and what is
   // said to it tells it so.
-  const bool past = note.process.id == p.id && (note.process.start > p.start || (note.process.start == p.start && note.process.run != p.run));
-  if (!same && !past) {
+  if (p.followed_by(note.process)) {
+    if (hello.stage != static_cast<std::uint8_t>(Stage::member)) this->hello(member);
+    return;
+  }
+  if (!note.process.same(p)) {
     const Position known = note.process.id == p.id ? note.process.position() : Position();
     note.process = p;
     note.process.set(known);
     around_.records.write(kNote + name_of(member), packed(p));
     note.mark = around_.records.mark();
   }
-  if (past) return hello.stage == static_cast<std::uint8_t>(Stage::member) ? void() : this->hello(member);
   note.waits = stage_ == Stage::member && hello.stage != static_cast<std::uint8_t>(Stage::member);
   note.heard = now_, note.stage = hello.stage, note.founders = hello.founders;
-  note.fine = hello.of_you.id == process_.id && hello.of_you.start == process_.start && hello.of_you.run == process_.run;
+  note.fine = hello.of_you.same(process_);
   if (older_than(hello.of_you) && !options_.trust_any_disk) return forget("another holder knew a later state of this disk");
   // Somebody has the ledger: a blank one is filled by its leader, or was among those who founded it.
   const bool formed = hello.stage >= static_cast<std::uint8_t>(Stage::entering);
   if (!formed || (stage_ != Stage::blank && stage_ != Stage::founding)) return;
   const auto own = std::find(hello.founders.begin(), hello.founders.end(), std::pair(name_of(options_.self), process_.id));
-  if (own == hello.founders.end()) return take_part(Stage::member, [](const Visit&) {});
+  if (own == hello.founders.end()) return take_part({});
   founders_ = hello.founders;
   found_if_all();
 }
@@ -219,13 +228,13 @@
   Founders founders = {{name_of(options_.self), process_.id}};
   bool alike = true, formed = false;
   for (const std::size_t member : all) {
-    const auto note = notes_.find(name_of(member));
-    if (note == notes_.end() || note->second.heard == 0 || now_ - note->second.heard > kRecent) {
+    const Note* note = recent(name_of(member));
+    if (note == nullptr) {
       alike = false;
       continue;
     }
-    founders.emplace_back(name_of(member), note->second.process.id);
-    formed = formed || (note->second.stage >= static_cast<std::uint8_t>(Stage::entering) && note->second.founders == founders_ && !founders_.empty());
+    founders.emplace_back(name_of(member), note->process.id);
+    formed = formed || (note->stage >= static_cast<std::uint8_t>(Stage::entering) && note->founders == founders_ && !founders_.empty());
   }
   std::sort(founders.begin(), founders.end());
   if (stage_ == Stage::blank && alike && !formed && founders.size() == options_.copies) {
@@ -239,25 +248,11 @@
     return note.stage != static_cast<std::uint8_t>(Stage::blank) && note.founders == founders_;
   });
   if (!formed && !all_told) return;
-  // What is written to found the log is also what it begins with here.
-  struct Both final : Records {
-    Both(Records& to, std::map<std::string, std::string>& copy) : disk(to), kept(copy) {}
-    void write(std::string key, std::optional<std::string> value) override {
-      kept[key] = value.value_or("");
-      disk.write(std::move(key), std::move(value));
-    }
-    std::uint64_t mark() override { return disk.mark(); }
-    Records& disk;
-    std::map<std::string, std::string>& kept;
-  };
-  std::map<std::string, std::string> begun;
-  Both both(around_.records, begun);
   std::vector<CopyMember> members;
   for (const auto& [name, id] : founders_) members.push_back({id, name, true});
-  Consensus::found(both, members);
-  take_part(Stage::member, [&](const Visit& visit) {
-    for (const auto& [key, value] : begun) visit(key, value);
-  });
+  const auto log = Consensus::founding(std::move(members));
+  for (const auto& [key, value] : log) around_.records.write(key, value);
+  take_part(log);
   around_.say(false, "ledger " + std::to_string(options_.ledger) + " is founded");
 }
 
@@ -271,10 +266,7 @@
   }
   const bool enough = fine == all.size() || (fine >= options_.copies / 2 && now_ - began_ > options_.patience);
   if (!enough && !options_.trust_any_disk) return;
-  const auto kept = std::exchange(kept_, {});
-  take_part(Stage::member, [&](const Visit& visit) {
-    for (const auto& [key, value] : kept) visit(key, value);
-  });
+  take_part(std::exchange(kept_, {}));
   around_.say(false, "takes part in ledger " + std::to_string(options_.ledger) + " again, " + std::to_string(fine) + " others know this start");
 }
 
@@ -354,15 +346,15 @@
 
 void Holder::see_to_members() {
   if (consensus_->changing()) return;
-  const auto all = wanted();
+  const auto& all = wanted_;
   const auto members = consensus_->members();
   const auto voters = std::count_if(members.begin(), members.end(), [](const auto& m) { return m.votes; });
   const auto is_wanted = [&](const std::string& name) {
     return std::any_of(all.begin(), all.end(), [&](std::size_t m) { return name_of(m) == name; });
   };
   const auto present = [&](const std::string& name) -> CopyId {
-    const auto note = notes_.find(name);
-    return note == notes_.end() || note->second.heard == 0 || now_ - note->second.heard > kRecent ? 0 : note->second.process.id;
+    const Note* note = recent(name);
+    return note == nullptr ? 0 : note->process.id;
   };
   std::size_t placed = 0;
   for (const auto& m : members) {
@@ -407,11 +399,8 @@
 }
 
 void Holder::applied(std::string_view command) {
-  const auto before = ledger_.replaced().size();
   last_ = ledger_.apply(command);
-  if (ledger_.replaced().size() == before) return;
-  replaced_ = ledger_.replaced();
-  around_.records.write(std::string(kReplaced), packed(replaced_));
+  if (ledger_.replaced() != replaced_) place();
 }
 
 // ---------------------------------------------------------------- questions
@@ -427,21 +416,19 @@
 
 void Holder::refuse(std::size_t member, std::uint64_t number, bool clock) {
   Refused refused{number, leader_name(), {}, clock};
-  for (const std::size_t m : wanted()) refused.holders.push_back(name_of(m));
+  for (const std::size_t m : wanted_) refused.holders.push_back(name_of(m));
   around_.send(member, write(Kind::refused, options_.ledger, refused));
 }
 
 // Guards the books against a clock far ahead, whose windows would crowd out those of now.
-bool Holder::far(const Ask& ask) const {
-  return std::any_of(ask.lines.begin(), ask.lines.end(), [this](const AskLine& line) {
-    if (line.span == 0 || line.span > 3) return false;
-    return line.window > now_ / budgets::length_of(static_cast<budgets::Span>(line.span)) + kFarWindows;
-  });
+bool Holder::far(const AskLine& line) const {
+  if (line.span == 0 || line.span > 3) return false;
+  return line.window > now_ / budgets::length_of(static_cast<budgets::Span>(line.span)) + kFarWindows;
 }
 
 void Holder::ask(std::size_t member, const Ask& ask) {
   if (!leads() || !ready_) return refuse(member, ask.number);
-  if (far(ask)) return refuse(member, ask.number, true);
+  if (std::any_of(ask.lines.begin(), ask.lines.end(), [this](const AskLine& line) { return far(line); })) return refuse(member, ask.number, true);
   Command command(CommandKind::ask);
   command.ask = ask;
   const Session session = ask.session;
@@ -464,10 +451,8 @@
   const auto answer = [this, member, id](bool yes, const char* why) {
     around_.send(member, write(Kind::corrected, options_.ledger, Corrected{id, yes, why}));
   };
-  Ask window;
-  window.lines.push_back(correction.account);
-  if (!leads() || !ready_) return refuse(member, 0);
-  if (far(window)) return answer(false, "the router's clock is far ahead");
+  if (!ready_) return;  // it is said to all holders
+  if (far(correction.account)) return answer(false, "the router's clock is far ahead");
   Command command(CommandKind::correct);
   command.correction = correction;
   if (options_.answer_before_majority) answer(true, "");
@@ -479,7 +464,7 @@
 }
 
 void Holder::replace(std::size_t member, const Replace& replace) {
-  if (!leads() || !ready_) return refuse(member, 0);
+  if (!ready_) return;
   const std::uint64_t id = replace.id;
   const auto known = [this](const std::string& name) { return options_.roster->find(name) != options_.roster->size(); };
   if (!known(replace.old_name) || !known(replace.new_name) || replace.old_name == replace.new_name) {
--- a/src/copies/holder.hpp
+++ b/src/copies/holder.hpp
@@ -51,8 +51,8 @@
   const Process& process() const { return process_; }
   bool was_older() const { return was_older_; }
   std::string leader_name() const;  // empty: not known
-  std::vector<std::size_t> wanted() const;
-  std::size_t number() const { return options_.ledger; }
+  // Who is to hold a copy, by the file and by what was replaced.
+  const std::vector<std::size_t>& wanted() const { return wanted_; }
 
  private:
   struct Note {
@@ -70,7 +70,8 @@
   void begin(const std::function<void(const Visit&)>& stored);
   void forget(const char* why);
   void put_meta();
-  void take_part(Stage stage, const std::function<void(const Visit&)>& stored);
+  void take_part(const std::map<std::string, std::string>& log);
+  void place();
   void hello(std::size_t member);
   void greet_all();
   void keep_positions();
@@ -87,7 +88,8 @@
   void correct(std::size_t member, const Correction& correction);
   void replace(std::size_t member, const Replace& replace);
   void refuse(std::size_t member, std::uint64_t number, bool clock = false);
-  bool far(const Ask& ask) const;
+  bool far(const AskLine& line) const;
+  const Note* recent(const std::string& name) const;
   std::vector<std::size_t> others() const;
   const std::string& name_of(std::size_t member) const { return options_.roster->at(member).name; }
 
@@ -99,10 +101,11 @@
   Founders founders_;
   std::map<std::string, Note> notes_;  // by router
   Replaced replaced_;                  // as on disk
+  std::vector<std::size_t> wanted_;
   std::uint64_t durable_ = 0, meta_mark_ = 0;
   std::map<std::string, std::string> kept_;  // records of the log, until it is started
   std::vector<std::string> log_keys_;        // of what this process found
-  bool was_older_ = false, warned_ = false, forget_soon_ = false;
+  bool was_older_ = false, forget_soon_ = false;
   Ledger ledger_;
   std::optional<Applied> last_;  // of the command that was applied last
   std::map<Session, Time> sessions_heard_;
--- a/src/copies/ledger.cpp
+++ b/src/copies/ledger.cpp
@@ -1,7 +1,8 @@
 #include "copies/ledger.hpp"
 
 #include <algorithm>
-#include <set>
+
+#include "copies/packing.hpp"
 
 namespace sprucecourse::copies {
 namespace {
@@ -25,19 +26,12 @@
   return all;
 }
 
-std::string Ledger::write(const Command& command) {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, command);
-  return {buffer.data(), buffer.size()};
-}
+std::string Ledger::write(const Command& command) { return packed(command); }
 
 std::optional<Applied> Ledger::apply(std::string_view bytes) {
-  Command command;
-  try {
-    command = msgpack::unpack(bytes.data(), bytes.size()).get().as<Command>();
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  const auto readable = read<Command>(bytes);
+  if (!readable) return std::nullopt;
+  const Command& command = *readable;
   state_.age += std::max<std::int64_t>(0, command.elapsed);
   Applied outcome;
   switch (static_cast<CommandKind>(command.kind)) {
@@ -214,18 +208,13 @@
 // ---------------------------------------------------------------- whole
 
 std::string Ledger::snapshot() const {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, state_);
-  return {buffer.data(), buffer.size()};
+  return packed(state_);
 }
 
 bool Ledger::restore(std::string_view bytes) {
-  try {
-    state_ = msgpack::unpack(bytes.data(), bytes.size()).get().as<State>();
-    return true;
-  } catch (const std::exception&) {
-    return false;
-  }
+  auto state = read<State>(bytes);
+  if (state) state_ = std::move(*state);
+  return state.has_value();
 }
 
 std::string Ledger::fault() const {
--- a/src/copies/message.hpp
+++ b/src/copies/message.hpp
@@ -6,6 +6,7 @@
 
 #include "copies/consensus.hpp"
 #include "copies/ledger.hpp"
+#include "copies/packing.hpp"
 
 namespace sprucecourse::copies {
 
@@ -25,6 +26,9 @@
   CopyId id = 0;
   std::uint32_t start = 0, run = 0;  // counted on the disk; drawn by the process
   std::uint64_t term = 0, last_term = 0, last = 0;  // how far its disk is, or was when it was heard last
+  bool same(const Process& other) const { return id == other.id && start == other.start && run == other.run; }
+  // Another process of the same disk has come after it, or has its start: a copy of the disk.
+  bool followed_by(const Process& other) const { return id == other.id && (other.start > start || (other.start == start && other.run != run)); }
   Position position() const { return {term, last_term, last}; }
   void set(const Position& p) { term = p.term, last_term = p.last_term, last = p.last; }
   MSGPACK_DEFINE(id, start, run, term, last_term, last)
@@ -66,18 +70,7 @@
 
 template <typename Body>
 std::string write(Kind kind, std::size_t ledger, const Body& body) {
-  msgpack::sbuffer inner, outer;
-  msgpack::pack(inner, body);
-  msgpack::pack(outer, Envelope{kVersion, static_cast<std::uint8_t>(kind), static_cast<std::uint16_t>(ledger), {inner.data(), inner.size()}});
-  return {outer.data(), outer.size()};
-}
-template <typename Body>
-std::optional<Body> read(std::string_view bytes) {
-  try {
-    return msgpack::unpack(bytes.data(), bytes.size()).get().as<Body>();
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  return packed(Envelope{kVersion, static_cast<std::uint8_t>(kind), static_cast<std::uint16_t>(ledger), packed(body)});
 }
 
 }  // namespace sprucecourse::copies
--- a/src/copies/purse.hpp
+++ b/src/copies/purse.hpp
@@ -62,6 +62,7 @@
 
   bool has_majority(std::size_t ledger) const { return channels_.at(ledger).answered; }
   std::size_t ledgers() const { return channels_.size(); }
+  const std::vector<std::size_t>& holders(std::size_t ledger) const { return channels_.at(ledger).holders; }  // as last told
   const PurseFigures& figures() const { return figures_; }
   struct Line {
     std::string key;
--- a/src/node/group_copies.cpp
+++ b/src/node/group_copies.cpp
@@ -91,7 +91,6 @@
                                        }},
       net::now_us());
   store_->loaded();
-  want_links();
   if (!copies::bears_loss_of_a_site(*roster_, options.purse.ledgers, file_.holders)) {
     logging::warning("copies") << "these sites cannot bear the loss of any whole one: " << file_.holders << " copies need three sites";
   }
@@ -106,18 +105,16 @@
   till_.attach(nullptr);
 }
 
-// With all holders of all ledgers: who leads changes, and a question should not wait for a connection.
+// With all holders of all ledgers, those included that have taken another's place: who leads changes, and a question should
+// not wait for a connection.
 void GroupCopies::want_links() {
-  for (std::size_t ledger = 0; ledger < copies_->options().purse.ledgers; ++ledger) {
-    for (const std::size_t member : copies::holders_of(*roster_, ledger, file_.holders)) {
-      if (member != self_) links_.want(member, true);
-    }
-  }
-  for (const auto& [ledger, holder] : copies_->holders()) {
-    for (const std::size_t member : holder->wanted()) {
+  const auto want = [this](const std::vector<std::size_t>& members) {
+    for (const std::size_t member : members) {
       if (member != self_) links_.want(member, true);
     }
-  }
+  };
+  for (std::size_t ledger = 0; ledger < copies_->purse().ledgers(); ++ledger) want(copies_->purse().holders(ledger));
+  for (const auto& [ledger, holder] : copies_->holders()) want(holder->wanted());
 }
 
 // ---------------------------------------------------------------- turns of the loop
@@ -128,6 +125,7 @@
   copies_->durable(now, store_->durable());
   copies_->tick(now);
   store_->hand_over();
+  want_links();
   const auto figures = store_->figures();
   if (figures.failing != failing_) {
     failing_ = figures.failing;
