One status command, number from the system, tokens of units and rig setup where there were two or three

Seen on reading: 'copies status' wrote 'group status' again (tools/words.*: add_status); drawn_seed() stood in others.cpp and group_copies.cpp, in_tokens() in gate.cpp and twice more, the rig's options in three tests; the rig parsed each word twice (Rig::ask). The oldest of operators' words gave way by id, not by age (order_). An unused map and an empty answer in the plays are gone.

--- a/src/budgets/gate.cpp
+++ b/src/budgets/gate.cpp
@@ -14,8 +14,6 @@
   return static_cast<std::uint64_t>(std::ceil(std::clamp(tokens, 0.0, kMostTokens)));
 }
 
-double in_tokens(Units units) { return static_cast<double>(units) / static_cast<double>(kUnitsPerToken); }
-
 }  // namespace
 
 Units cost_of(std::uint64_t prompt, std::uint64_t kept, std::uint64_t made, const Price& price) {
--- a/src/budgets/limit.hpp
+++ b/src/budgets/limit.hpp
@@ -14,6 +14,7 @@
 // Thousandths of a token at price 1: what is counted everywhere here.
 using Units = std::int64_t;
 inline constexpr Units kUnitsPerToken = 1000;
+inline constexpr double in_tokens(Units units) { return static_cast<double>(units) / kUnitsPerToken; }
 inline constexpr Units kMostUnits = 1'000'000'000'000'000'000;  // 1e15 tokens; sums are cut there
 
 enum class Span { bucket, minute, hour, day };
--- a/src/emulator/copies.cpp
+++ b/src/emulator/copies.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <optional>
 
 #include "copies/copies.hpp"
 
@@ -285,7 +284,6 @@
     const Account& account = accounts_[which];
     const Units amount = 4000 + static_cast<Units>(demand_.below(14'000)), used = static_cast<Units>(static_cast<double>(amount) * demand_.between(0.2, 1));
     const Time wall = local(r);
-    // Between the look at the clock and the grant the process may stand still for long.
     if (!router.copies->purse().reserve(static_cast<copies::Purse::Place>(which), amount, wall)) {
       router.copies->pump(wall);
       return void(++result_.refused);
@@ -315,7 +313,7 @@
       if (pail_ < -1 - most) broken(fmt::format("{}: {:.0f} beyond burst and refill", account.key, -pail_));
       return;
     }
-    const Units most = kLimit + raised_[account.key] + static_cast<Units>(options_.overdraft * kLimit) * static_cast<Units>(routers_.size());
+    const Units most = kLimit + static_cast<Units>(options_.overdraft * kLimit) * static_cast<Units>(routers_.size());
     if (all > most) broken(fmt::format("{}, window {}: {} granted, the limit is {}", account.key, window, all, most));
   }
   void broken(const std::string& what) {
@@ -514,7 +512,6 @@
   Time no_kill_until_ = 0;
   bool calm_ = false;
   std::map<std::pair<std::string, std::int64_t>, Units> truth_;
-  std::map<std::string, Units> raised_;
   std::set<std::uint64_t> confirmed_;
   std::string timeline_;
   CopiesResult result_;
--- a/src/node/group_copies.cpp
+++ b/src/node/group_copies.cpp
@@ -6,9 +6,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <random>
 
 #include "logging/log.hpp"
+#include "node/identity.hpp"
 
 namespace sprucecourse {
 namespace {
@@ -18,13 +18,6 @@
 constexpr std::size_t kStorePart = 16;  // of the memory, for records on their way to the disk
 constexpr std::size_t kMostLines = 64;  // of accounts, in a status
 
-std::uint64_t drawn() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32) | device();
-}
-
-double in_tokens(budgets::Units units) { return static_cast<double>(units) / budgets::kUnitsPerToken; }
-
 const char* name_of(copies::Stage stage) {
   static constexpr const char* names[] = {"blank", "founding", "entering", "member"};
   return names[static_cast<int>(stage)];
@@ -82,7 +75,7 @@
       options,
       copies::Copies::Surroundings{.records = [this](std::size_t ledger) -> copies::Records& { return store_->records(ledger); },
                                    .stored = [this](std::size_t ledger, const copies::Visit& visit) { store_->stored(ledger, visit); },
-                                   .chance = drawn,
+                                   .chance = drawn_number,
                                    .send = [this](std::size_t member, std::string bytes) { parcels_.send(member, bytes); },
                                    .say =
                                        [](bool grave, const std::string& text) {
@@ -209,9 +202,9 @@
           if (state == holder->ledger().sessions().end() || state->second.expired) open += std::max<budgets::Units>(0, lease.granted - lease.used);
         }
         if (books.size() < kMostLines) {
-          books.push_back({{"ledger", number}, {"account", key}, {"window", window}, {"limit", in_tokens(book.amount)}, {"left", in_tokens(book.left)},
-                           {"charged", in_tokens(book.charged)}, {"in_hand", in_tokens(book.in_hand())}, {"open", in_tokens(open)},
-                           {"corrected", in_tokens(book.corrected)}});
+          books.push_back({{"ledger", number}, {"account", key}, {"window", window}, {"limit", budgets::in_tokens(book.amount)}, {"left", budgets::in_tokens(book.left)},
+                           {"charged", budgets::in_tokens(book.charged)}, {"in_hand", budgets::in_tokens(book.in_hand())}, {"open", budgets::in_tokens(open)},
+                           {"corrected", budgets::in_tokens(book.corrected)}});
         }
       }
     }
@@ -219,8 +212,8 @@
   Json purse = Json::array();
   for (const auto& line : copies_->purse().lines()) {
     if (purse.size() < kMostLines) {
-      purse.push_back({{"account", line.key}, {"window", line.window}, {"limit", in_tokens(line.limit)}, {"left", in_tokens(line.left)},
-                       {"in_hand", in_tokens(line.in_hand)}, {"used", in_tokens(line.used)}, {"reserved", in_tokens(line.reserved)}});
+      purse.push_back({{"account", line.key}, {"window", line.window}, {"limit", budgets::in_tokens(line.limit)}, {"left", budgets::in_tokens(line.left)},
+                       {"in_hand", budgets::in_tokens(line.in_hand)}, {"used", budgets::in_tokens(line.used)}, {"reserved", budgets::in_tokens(line.reserved)}});
     }
   }
   Json majority = Json::array();
@@ -294,8 +287,9 @@
     const auto found = words_.find(*id);
     return (found == words_.end() ? "-ERR no: no such id here" : found->second) + "\n";
   }
-  if (words_.size() >= kMostWords) words_.erase(words_.begin());
+  if (!words_.contains(*id)) order_.push_back(*id);
   words_[*id] = "+OK pending";
+  while (order_.size() > kMostWords) words_.erase(order_.front()), order_.pop_front();
   std::string answer;
   if (call == "REPLACE") {
     const std::string old_name(word(line));
--- a/src/node/group_copies.hpp
+++ b/src/node/group_copies.hpp
@@ -1,6 +1,7 @@
 // This router's copies of ledgers and its purse, joined to links, disk and loop.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -51,6 +52,7 @@
   std::unique_ptr<keeping::CopiesStore> store_;
   std::unique_ptr<copies::Copies> copies_;
   std::map<std::uint64_t, std::string> words_;  // of operators: what became of them; the oldest go
+  std::deque<std::uint64_t> order_;             // in which they came
   net::Timer tick_;
   Time ticks_at_ = 0;
   bool pumping_ = false, failing_ = false, failed_ = false;
--- a/src/node/identity.cpp
+++ b/src/node/identity.cpp
@@ -46,6 +46,11 @@
 
 }  // namespace
 
+std::uint64_t drawn_number() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
 Recalled recall_identity(const std::string& path) {
   Recalled recalled;
   recalled.identity.run = drawn();
--- a/src/node/identity.hpp
+++ b/src/node/identity.hpp
@@ -1,12 +1,16 @@
 // Which start of which disk this process is: a small file that is written once at each start (docs/group.md).
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "membership/message.hpp"
 
 namespace sprucecourse {
 
+// From the system, for seeds and names of processes.
+std::uint64_t drawn_number();
+
 struct Recalled {
   membership::Identity identity;
   bool empty = true;      // there was no file, or none that could be read
--- a/src/node/others.cpp
+++ b/src/node/others.cpp
@@ -2,8 +2,6 @@
 
 #include <unistd.h>
 
-#include <random>
-
 #include "logging/log.hpp"
 #include "net/local.hpp"
 #include "node/group_status.hpp"
@@ -16,11 +14,6 @@
 constexpr std::size_t kNeighbours = 2;
 constexpr Time kViewPeriods = 10;
 
-std::uint64_t drawn_seed() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32) | device();
-}
-
 }  // namespace
 
 Others::Others(const Config& config, Till* till) : membership_(membership_of(config)), file_(config.added.group), began_(net::now_us()) {
@@ -37,12 +30,12 @@
   options.period = static_cast<Time>(file_.period_s * 1e6);
   const std::string& listen = file_.listen.empty() ? roster.at(membership_.self).address : file_.listen;
   datagrams_ = std::make_unique<net::Datagrams>(listen, nullptr, [this](GSocketAddress*, auto bytes) { arrived(bytes); });
-  swim_ = std::make_unique<membership::Swim>(membership_.roster, membership_.self, recalled.identity, options, drawn_seed(), net::now_us());
+  swim_ = std::make_unique<membership::Swim>(membership_.roster, membership_.self, recalled.identity, options, drawn_number(), net::now_us());
   links.listen = file_.links ? listen : "";
   links.group = roster.hash();
   links.self = membership_.self;
   links.beat = std::max<Time>(options.period, 500'000);
-  links.seed = drawn_seed();
+  links.seed = drawn_number();
   links_ = std::make_unique<net::Links>(
       std::move(links), net::Links::Callbacks{.heard =
                                                   [this](std::size_t member, std::uint8_t channel, std::string_view bytes) {
--- a/src/standins/copies_play.cpp
+++ b/src/standins/copies_play.cpp
@@ -56,7 +56,7 @@
       if (const auto broken = lose(); !broken.empty()) return broken;
     }
     if (!use_up()) return "the budget is not used up";
-    if (const auto broken = decide(); !broken.empty()) return broken;
+    decide();
     if (const auto broken = judge(); !broken.empty()) return broken;
     return rig_.settle();
   }
@@ -135,7 +135,7 @@
     asked_.push_back(asked);
   }
   // Until each correction has its word, or its router died with it.
-  std::string decide() {
+  void decide() {
     rig_.until(
         [this] {
           bool open = false;
@@ -149,15 +149,11 @@
         kDecides);
     played_.corrections = asked_.size();
     played_.confirmed = static_cast<std::size_t>(std::count_if(asked_.begin(), asked_.end(), [](const auto& a) { return a.yes; }));
-    return {};
   }
 
   // ------------------------------------------------------------ looking
 
-  Json copies(std::size_t router) const {
-    const std::string said = rig_.call(router, "COPIES JSON");
-    return Json::accept(said) ? Json::parse(said) : Json();
-  }
+  Json copies(std::size_t router) const { return rig_.ask(router, "COPIES JSON"); }
   // Why not all copies are whole and vote; empty: they do.
   std::string unfilled() const {
     Json leader;
--- a/src/standins/rig.cpp
+++ b/src/standins/rig.cpp
@@ -429,11 +429,13 @@
   }
 }
 
-nlohmann::json Rig::status(std::size_t router) const {
-  const std::string said = call(router, "STATUS JSON");
-  return nlohmann::json::accept(said) ? nlohmann::json::parse(said) : nlohmann::json();
+nlohmann::json Rig::ask(std::size_t router, const std::string& line) const {
+  auto said = nlohmann::json::parse(call(router, line), nullptr, false);
+  return said.is_discarded() ? nlohmann::json() : said;
 }
 
+nlohmann::json Rig::status(std::size_t router) const { return ask(router, "STATUS JSON"); }
+
 std::string Rig::disagreement() const {
   for (std::size_t i = 0; options_.group && i < size(); ++i) {
     if (!runs(i)) continue;
--- a/src/standins/rig.hpp
+++ b/src/standins/rig.hpp
@@ -86,6 +86,7 @@
   nlohmann::json status(std::size_t router) const;
   // What it answers to a line at its local socket; empty where it does not.
   std::string call(std::size_t router, const std::string& line) const;
+  nlohmann::json ask(std::size_t router, const std::string& line) const;  // which is answered with JSON
   // Of all answers that boxes began: as they tally them.
   double tokens() const { return tokens_; }
   // What somebody holds that is not so; empty if all that run hold the same, and it is so.
--- a/src/tools/copies.cpp
+++ b/src/tools/copies.cpp
@@ -8,8 +8,6 @@
 #include "copies/ledger.hpp"
 #include "emulator/copies.hpp"
 #include "keeping/copies.hpp"
-#include "net/local.hpp"
-#include "operator_file.hpp"
 #include "standins/copies_play.hpp"
 #include "tools/words.hpp"
 
@@ -60,26 +58,6 @@
 
 // ---------------------------------------------------------------- a running router
 
-struct StatusLine {
-  std::string socket;
-  bool json = false;
-};
-
-int print_status(const StatusLine& line, const std::string& operator_file) {
-  const std::string path = line.socket.empty() ? read_operator_file(operator_file).group.status : line.socket;
-  if (path.empty()) throw std::invalid_argument("copies status: name the socket, or an operator's file (-o) that has group.status");
-  fmt::print("{}", net::call_local(path, line.json ? "COPIES JSON" : "COPIES", 5'000'000));
-  return 0;
-}
-
-void add_status(CLI::App& copies, int& status, const std::string& operator_file) {
-  auto line = std::make_shared<StatusLine>();
-  auto* command = copies.add_subcommand("status", "ledgers, books and what is in hand, as a running router of this machine has them");
-  command->add_option("SOCKET", line->socket, "the router's group.status; without it, that of the operator's file (-o)");
-  command->add_flag("--json", line->json, "one JSON object");
-  command->callback([line, &status, &operator_file] { status = print_status(*line, operator_file); });
-}
-
 struct ReplaceLine {
   std::string socket, old_name, new_name;
 };
@@ -170,7 +148,7 @@
 
 CLI::App* add_copies(CLI::App& app, int& status, const std::string& operator_file) {
   auto* copies = app.add_subcommand("copies", "what routers hold for others, copied")->require_subcommand(1);
-  add_status(*copies, status, operator_file);
+  add_status(*copies, {"ledgers, books and what is in hand, as a running router of this machine has them", "COPIES"}, status, operator_file);
   add_replace(*copies, status);
   add_check(*copies, status);
   add_play(*copies, status);
--- a/src/tools/group.cpp
+++ b/src/tools/group.cpp
@@ -10,37 +10,12 @@
 
 #include "emulator/group_faults.hpp"
 #include "lab/group_table.hpp"
-#include "net/local.hpp"
-#include "operator_file.hpp"
 #include "standins/rig_script.hpp"
+#include "tools/words.hpp"
 
 namespace sprucecourse::tools {
 namespace {
 
-constexpr Time kAnswerWithin = 5'000'000;
-
-// ---------------------------------------------------------------- a running router
-
-struct StatusLine {
-  std::string socket;
-  bool json = false;
-};
-
-int print_status(const StatusLine& line, const std::string& operator_file) {
-  const std::string path = line.socket.empty() ? read_operator_file(operator_file).group.status : line.socket;
-  if (path.empty()) throw std::invalid_argument("group status: name the socket, or an operator's file (-o) that has group.status");
-  fmt::print("{}", net::call_local(path, line.json ? "STATUS JSON" : "STATUS", kAnswerWithin));
-  return 0;
-}
-
-void add_status(CLI::App& group, int& status, const std::string& operator_file) {
-  auto line = std::make_shared<StatusLine>();
-  auto* command = group.add_subcommand("status", "who is there, as a running router of this machine sees it");
-  command->add_option("SOCKET", line->socket, "the router's group.status; without it, that of the operator's file (-o)");
-  command->add_flag("--json", line->json, "one JSON object");
-  command->callback([line, &status, &operator_file] { status = print_status(*line, operator_file); });
-}
-
 // ---------------------------------------------------------------- processes
 
 struct PlayLine {
@@ -183,7 +158,7 @@
 
 CLI::App* add_group(CLI::App& app, int& status, const std::string& operator_file) {
   auto* group = app.add_subcommand("group", "routers that know of each other")->require_subcommand(1);
-  add_status(*group, status, operator_file);
+  add_status(*group, {"who is there, as a running router of this machine sees it", "STATUS"}, status, operator_file);
   add_play(*group, status);
   add_virtual(*group, status);
   add_table(*group, status);
--- a/src/tools/models.cpp
+++ b/src/tools/models.cpp
@@ -4,13 +4,14 @@
 
 #include <chrono>
 #include <cmath>
+#include <filesystem>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
 
 #include "keeping/records.hpp"
-#include "tools/words.hpp"
 #include "operator_file.hpp"
+#include "tools/words.hpp"
 
 namespace sprucecourse::tools {
 namespace {
@@ -53,10 +54,8 @@
   return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
 }
 
-double in_tokens(budgets::Units units) { return static_cast<double>(units) / budgets::kUnitsPerToken; }
-
 Json account_json(std::string_view key, const budgets::LimitState& state) {
-  return {{"account", key}, {"limit", in_tokens(state.amount)}, {"left", in_tokens(state.left)}, {"at_ms", state.at / 1000}};
+  return {{"account", key}, {"limit", budgets::in_tokens(state.amount)}, {"left", budgets::in_tokens(state.left)}, {"at_ms", state.at / 1000}};
 }
 
 template <typename Work>
--- a/tests/copies/processes.cpp
+++ b/tests/copies/processes.cpp
@@ -1,10 +1,12 @@
 // Real processes that share a budget and lose machines with their disks: boxes' tallies against limit and books.
 #include <catch2/catch.hpp>
 
+#include "../group/rig_options.hpp"
 #include "../store/scratch.hpp"
 #include "standins/copies_play.hpp"
 
 using namespace sprucecourse::standins;
+using sprucecourse::testing::rig_options;
 using sprucecourse::testing::Scratch;
 
 namespace {
@@ -17,13 +19,8 @@
 
 void holds(CopiesPlay script) {
   Scratch scratch;
-  RigOptions options;
-  options.program = THORNWICK;
-  options.folder = scratch.folder();
-  options.scenario = std::string(THORNWICK_EXAMPLES) + "/lab/demo.toml";
   std::string timeline;
-  options.say = [&](double at, const std::string& what) { timeline += std::to_string(at) + "  " + what + "\n"; };
-  const auto played = play_losses(script, options);
+  const auto played = play_losses(script, rig_options(scratch.folder(), timeline));
   INFO("again: thornwick copies play --scenario examples/lab/demo.toml --seed " << script.seed << " --routers " << script.routers << " --sites " << script.sites
                                                                                << " --copies " << script.copies << (script.site ? " --site" : "") << "\n" << timeline);
   REQUIRE(played.broken == "");
--- a/tests/group/processes.cpp
+++ b/tests/group/processes.cpp
@@ -4,10 +4,12 @@
 #include "../store/scratch.hpp"
 #include "operator_file.hpp"
 #include "settings/section.hpp"
+#include "rig_options.hpp"
 #include "standins/rig_script.hpp"
 
 using namespace sprucecourse;
 using namespace sprucecourse::standins;
+using sprucecourse::testing::rig_options;
 using sprucecourse::testing::Scratch;
 
 namespace {
@@ -18,10 +20,7 @@
     agreed();
   }
   RigOptions options(std::size_t routers, std::size_t sites, std::string more, bool door) const {
-    RigOptions o;
-    o.program = THORNWICK;
-    o.folder = scratch.folder();
-    o.scenario = std::string(THORNWICK_EXAMPLES) + "/lab/demo.toml";
+    RigOptions o = rig_options(scratch.folder());
     o.routers = routers, o.sites = sites, o.more = std::move(more), o.door = door;
     return o;
   }
@@ -58,13 +57,8 @@
 void play_random(std::uint64_t from, std::uint64_t count) {
   for (std::uint64_t seed = from; seed < from + count; ++seed) {
     Scratch scratch;
-    RigOptions options;
-    options.program = THORNWICK;
-    options.folder = scratch.folder();
-    options.scenario = std::string(THORNWICK_EXAMPLES) + "/lab/demo.toml";
     std::string timeline;
-    options.say = [&](double at, const std::string& what) { timeline += std::to_string(at) + "  " + what + "\n"; };
-    const auto played = play(random_rig_script(seed, 10, 3, 9), options);
+    const auto played = play(random_rig_script(seed, 10, 3, 9), rig_options(scratch.folder(), timeline));
     INFO("again: thornwick group play --scenario examples/lab/demo.toml --seed " << seed << "\n" << timeline);
     REQUIRE(played.broken == "");
     CHECK(played.figures.served > 0);
--- /dev/null
+++ b/tests/group/rig_options.hpp
@@ -0,0 +1,24 @@
+// A rig of the program under test, on the demo's boxes, in a folder that goes with the test.
+#pragma once
+
+#include <string>
+
+#include "standins/rig.hpp"
+
+namespace sprucecourse::testing {
+
+inline standins::RigOptions rig_options(const std::string& folder) {
+  standins::RigOptions options;
+  options.program = THORNWICK;
+  options.folder = folder;
+  options.scenario = std::string(THORNWICK_EXAMPLES) + "/lab/demo.toml";
+  return options;
+}
+// With what happens told line by line.
+inline standins::RigOptions rig_options(const std::string& folder, std::string& timeline) {
+  auto options = rig_options(folder);
+  options.say = [&timeline](double at, const std::string& what) { timeline += std::to_string(at) + "  " + what + "\n"; };
+  return options;
+}
+
+}  // namespace sprucecourse::testing
