Call discovery by one deadline, so that a silent watch is replaced before it counts

A watch waited 5 s and had 1.5 s of grace (route_table.cpp, kWait and kGrace), so it failed 6.5 s after it had begun, and the next call came only after the module's pause (rules.cpp, ask_again): 7 to 8 s in all, where 6 count.

Ruled out: the route table's limit works (its log lines are on time); the sends themselves are checked against the newest list (servers.cpp, write); drains that do arrive are kept.

Change: core/call_plan decides when calls begin, how long they may wait and when they are given up; no I/O, chance handed in. The route table follows it; the module's pauses now serve the simulator only. Where the group is too large for the deadline the pace goes first, and it slows down while calls fail for waiting.

The scenarios' wait_ms=5000 became 2500 (0 for a first call): they named the wait that was at fault.

--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -1,6 +1,8 @@
 #include "net/route_table.hpp"
 
 #include <algorithm>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
 #include <charconv>
 #include <set>
 
@@ -13,14 +15,8 @@
 
 using fronts::text_at;
 
-constexpr Time kWait = 5'000'000;         // a watch without news ends then
-constexpr Time kGrace = 1'500'000;        // beyond the wait; what was not told counts as told after 2 s
-constexpr Time kAnswerLimit = 5'000'000;  // for a call that waits for nothing; it counts as told after 6 s
-// An agent that is silent because discovery is down may not answer the call that waits once it is back: what it has
-// counts as told all the same, so calls are short. They cost nothing.
-constexpr Time kAgentWait = 1'000'000, kAgentGrace = 300'000;
-constexpr Time kAgentAgain = 100'000;     // after a failed call
 constexpr std::size_t kRemembered = 64;   // targets that are gone, for the records of their last exchanges
+constexpr Time kWatchGap = 50'000;        // after an answer without news; a watch goes on for 200 ms
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 std::uint16_t index_of(const std::vector<std::string>& names, const std::string& name) {
@@ -31,13 +27,15 @@
 }  // namespace
 
 RouteTable::RouteTable(Options options, Heard heard)
-    : options_(std::move(options)), heard_(std::move(heard)), address_(parse_address(options_.address)) {
+    : options_(std::move(options)),
+      heard_(std::move(heard)),
+      plan_(options_.calls, now_us(),
+            [dice = boost::random::mt19937_64(options_.seed)]() mutable { return boost::random::uniform_01<double>()(dice); }),
+      address_(parse_address(options_.address)) {
   if (!address_) throw NetError("discovery: not an address: " + options_.address);
-  if (options_.pushed) again_.start(0, [this] { watch(); });
+  call_at(plan_.first(now_us()));
 }
 
-Time RouteTable::watch_wait() const { return options_.pushed ? kAgentWait : kWait; }
-
 const Route* RouteTable::find(ReplicaId target) const {
   const auto found = routes_.find(target);
   return found == routes_.end() ? nullptr : &found->second;
@@ -55,16 +53,16 @@
 
 // ---------------------------------------------------------------- asking
 
-void RouteTable::watch() {
-  watching_ = true;
-  if (asking_) return;
-  // Without a list the first call asks for what is known now; only then is there something to wait for. With one, a
-  // call that asks and another that waits would be two for discovery, which works through those of all routers in turn.
-  ask(!has_rev_, has_rev_ ? watch_wait() : 0);
+void RouteTable::call() {
+  if (!asking_) ask(!has_rev_);
+}
+
+void RouteTable::call_at(Time when) {
+  again_.start(when - now_us(), [this] { call(); });
 }
 
 void RouteTable::fetch() {
-  if (!asking_) ask(true, 0);
+  if (!asking_) ask(true);
 }
 
 // Guards against a mixture of two sources: the old call is dropped with whatever it may still answer, and the
@@ -77,21 +75,20 @@
   limit_.stop();
   drop_stream();
   has_rev_ = false;
-  watching_ = true;
-  ask(true, 0);
+  plan_.turned(now_us());
+  ask(true);
 }
 
-void RouteTable::ask(bool whole, Time wait) {
+void RouteTable::ask(bool whole) {
+  again_.stop();
   asking_ = true;
   ++counters_.calls;
+  const auto planned = plan_.begin(now_us());
   std::string target = "/registry/instances";
-  if (!whole) {
-    target += "?after=" + std::to_string(rev_) + "&wait_ms=" + std::to_string(wait / 1000);
-  }
+  if (!whole) target += "?after=" + std::to_string(rev_) + "&wait_ms=" + std::to_string(planned.wait / 1000);
   request_ = write_head("GET " + target + " HTTP/1.1", {{"Host", options_.address}});
   // Every call has its limit: a discovery that vanished says nothing and closes nothing.
-  const Time patience = options_.pushed ? wait + kAgentGrace : wait > 0 ? wait + kGrace : kAnswerLimit;
-  limit_.start(patience, [this] { failed("no answer in time"); });
+  limit_.start(planned.limit, [this] { failed("no answer in time"); });
   reader_ = std::make_unique<MessageReader>(MessageReader::Kind::answer, kMostList);
   body_.clear();
   if (stream_ && stream_->open()) return stream_->write(request_);
@@ -149,16 +146,21 @@
   if (parser_.parse(body_).get(list) != simdjson::SUCCESS || !list.is_object()) return failed("no JSON");
   if (too_old(list)) return failed("an older version than the one in use");
   asking_ = false;
+  const std::uint64_t before = rev_;
+  plan_.answered(now_us());
   take_list(list, false);
+  // Guards against a discovery that gives no version to wait behind, and one that does not wait: the loop would spin.
+  if (!has_rev_) return call_at(plan_.failed(now_us()));
+  if (rev_ == before) return call_at(now_us() + kWatchGap);
   // At once: a watch goes on only if the next call comes within 200 ms.
-  if (watching_ && !asking_) ask(false, watch_wait());
+  call();
 }
 
 // An agent that has started anew may hold what was long ago. The list in use stays, until it is clear that the older
 // one is all there is.
 bool RouteTable::too_old(simdjson::dom::element list) {
   std::uint64_t rev = 0;
-  const bool older = options_.pushed && has_rev_ && list.at_key("rev").get(rev) == simdjson::SUCCESS && rev < rev_;
+  const bool older = options_.calls.pushed && has_rev_ && list.at_key("rev").get(rev) == simdjson::SUCCESS && rev < rev_;
   if (!older) {
     old_since_ = 0;
     return false;
@@ -175,9 +177,9 @@
   ++counters_.failures;
   limit_.stop();
   if (stream_) stream_->close();
-  asking_ = watching_ = false;
-  if (options_.pushed) return again_.start(kAgentAgain, [this] { watch(); });
-  heard_(DirectoryScope::failed, {});  // the module decides when to ask again
+  asking_ = false;
+  call_at(plan_.failed(now_us()));
+  if (!options_.calls.pushed) heard_(DirectoryScope::failed, {});
 }
 
 // ---------------------------------------------------------------- the list
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <span>
 
+#include "core/call_plan.hpp"
 #include "core/exchanges.hpp"
 #include "fronts/dialect.hpp"
 #include "http/http.hpp"
@@ -34,9 +35,8 @@
   struct Options {
     std::string address;
     std::vector<std::string> zones, kinds;  // as the settings name them
-    // An agent on this machine has the list: asked from the start on, again soon after a failure, and without the
-    // decision module, whose pauses are made for a discovery that all routers share.
-    bool pushed = false;
+    core::CallPlan::Options calls;  // when discovery is called; the decision module's own pauses decide nothing here
+    std::uint64_t seed = 0;         // of the chance in it
     Time bear_old = 10'000'000;  // an agent's older list is not taken before it has given none but such for so long
   };
   using Heard = std::function<void(DirectoryScope, std::span<const ReplicaListing>)>;
@@ -49,7 +49,8 @@
   // The same of now, in discovery's form.
   std::string list() const;
 
-  void watch() override;
+  // The plan calls by itself, so that a watch is always open or under way; this only says that one is wanted.
+  void watch() override {}
   void fetch() override;
 
   // Discovery has moved. What is known of the targets stays until the new address has told its whole list.
@@ -62,9 +63,13 @@
   std::size_t size() const { return routes_.size(); }
   std::size_t listed() const;  // without those that are gone
   const DirectoryCounters& counters() const { return counters_; }
+  // The list was known to be whole then (now_us()); 0: never yet.
+  Time fresh() const { return has_rev_ ? plan_.fresh() : 0; }
 
  private:
-  void ask(bool whole, Time wait);
+  void call();
+  void call_at(Time when);
+  void ask(bool whole);
   void connect();
   void drop_stream();
   void arrived(std::string_view bytes);
@@ -75,11 +80,11 @@
   ReplicaId id_of(const std::string& uid);
   void bad_entry(std::string_view kind, const std::string& uid);
   void forget_gone();
-  Time watch_wait() const;
   bool too_old(simdjson::dom::element list);
 
   Options options_;
   Heard heard_;
+  core::CallPlan plan_;
   Owned<GSocketAddress> address_;
   std::map<ReplicaId, Route> routes_;
   std::deque<ReplicaId> gone_;  // the one that went first comes first
@@ -92,7 +97,7 @@
   simdjson::dom::parser parser_;
   std::uint64_t rev_ = 0;
   Time old_since_ = 0;  // 0: the latest list was not too old
-  bool has_rev_ = false, asking_ = false, watching_ = false;
+  bool has_rev_ = false, asking_ = false;
 };
 
 }  // namespace sprucecourse::net
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -33,7 +33,11 @@
       figures_(config.classes),
       names_{config.classes, config.tenants, {}},
       routes_({.address = config.discovery, .zones = config.zones, .kinds = config.kinds,
-               .pushed = !config.settings.directory_must_ask, .bear_old = config.settings.ask_within},
+               .calls = {.ask_within = config.settings.ask_within,
+                         .routers = config.settings.group_size,
+                         .pushed = !config.settings.directory_must_ask},
+               .seed = config.settings.seed,
+               .bear_old = config.settings.ask_within},
               [this](DirectoryScope scope, std::span<const ReplicaListing> entries) {
                 servers_.routes_changed();
                 if (routes_.size() > 0) life_.listed();
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -409,11 +409,11 @@
 TEST_CASE("the list is watched again at once, and a drain takes effect") {
   Play play;
   play.run(R"(
-    list expect GET /registry/instances?after=1&wait_ms=5000 
+    list expect GET /registry/instances?after=1&wait_ms=0 
     list send $json({"rev":2,"all":false,"targets":[]})
-    list expect GET /registry/instances?after=2&wait_ms=5000 
+    list expect GET /registry/instances?after=2&wait_ms=2500 
     list send $json({"rev":3,"all":false,"targets":[{"uid":"s-01","state":"DRAINING"}]})
-    list expect GET /registry/instances?after=3&wait_ms=5000 
+    list expect GET /registry/instances?after=3&wait_ms=2500 
     client1 send $ask(r1,300)
     client1 expect HTTP/1.1 503 
     router expect hops=0
@@ -423,9 +423,9 @@
 TEST_CASE("entries that are doubled, nameless or lead nowhere are counted and change nothing else") {
   Play play;
   play.run(R"(
-    list expect GET /registry/instances?after=1&wait_ms=5000 
+    list expect GET /registry/instances?after=1&wait_ms=0 
     list send $json({"rev":2,"all":false,"targets":[{"uid":""},{"uid":"s-07","endpoint":"nowhere","state":"SERVING"},{"uid":"s-07","endpoint":"nowhere","state":"SERVING"},{}]})
-    list expect GET /registry/instances?after=2&wait_ms=5000 
+    list expect GET /registry/instances?after=2&wait_ms=2500 
     router expect list_bad=4
     client1 send $ask(r1)
     hop1 expect X-Request-ID: r1
@@ -447,6 +447,33 @@
   CHECK(seldom.due(6'000'000, "one"));
 }
 
+// One deadline for all calls: none of these keeps the next one from coming, and each has its limit.
+TEST_CASE("whatever discovery does with a call, the next one is made, and the first good answer opens a watch") {
+  Play play({.boxes = 2});
+  play.run(R"(
+    list expect GET /registry/instances?after=1&wait_ms=0 
+    list send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
+    list2 expect GET /registry/instances?after=1&wait_ms=0 
+    list2 close
+    list3 expect GET /registry/instances?after=1&wait_ms=0 
+    # It says nothing.
+    list4 expect GET /registry/instances?after=1&wait_ms=0 
+    list4 send HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"rev":2,"all":false,
+    # It stalls in the middle of the body.
+    list5 expect GET /registry/instances?after=1&wait_ms=0 
+    list5 send $json({"rev":2,"all":false,"targets":[{"uid":"s-01","state":"DRAINING"}]})
+    list5 expect GET /registry/instances?after=2&wait_ms=2500 
+    router expect list_failures=4
+    # A watch that falls silent is followed by a call that does not wait.
+    list6 expect GET /registry/instances?after=2&wait_ms=0 
+    list6 send $json({"rev":2,"all":false,"targets":[]})
+    list6 expect GET /registry/instances?after=2&wait_ms=2500 
+    router expect list_failures=5
+    client1 send $ask(r1)
+    hop1 expect X-Request-ID: r1
+  )");
+}
+
 TEST_CASE("a failed call of discovery is made again, and the list that is known stays good") {
   Play play;
   play.run(R"(
@@ -527,9 +554,9 @@
 TEST_CASE("a new address of discovery is asked for its whole list at once, and the old one is not heard") {
   Play play;
   play.run(R"(
-    list expect GET /registry/instances?after=1&wait_ms=5000 
+    list expect GET /registry/instances?after=1&wait_ms=0 
     list send $json({"rev":7,"all":false,"targets":[]})
-    list expect GET /registry/instances?after=7&wait_ms=5000 
+    list expect GET /registry/instances?after=7&wait_ms=2500 
     router turn
     newlist expect GET /registry/instances HTTP/1.1\r\n
     list expect Host: 
@@ -541,7 +568,7 @@
     client1 expect \r\n0\r\n\r\n
     router close
     newlist send $json({"rev":2,"all":true,"targets":[]})
-    newlist expect GET /registry/instances?after=2&wait_ms=5000 
+    newlist expect GET /registry/instances?after=2&wait_ms=2500 
     client1 send $ask(r2,300)
     client1 expect HTTP/1.1 503 
     router expect hops=1
@@ -560,7 +587,7 @@
     newlist send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
     newlist2 expect GET /registry/instances HTTP/1.1\r\n
     newlist2 send $json({"rev":1,"all":true,"targets":[]})
-    newlist2 expect GET /registry/instances?after=1&wait_ms=5000 
+    newlist2 expect GET /registry/instances?after=1&wait_ms=2500 
   )");
 }
 
