Tell other routers of drains, so that a router whose watch is silent keeps them too

At 20 calls a second discovery cannot hear 300 routers within 6 s, whatever each of them plans.

Change: core/drains stands in front of whoever decides. The first router that learns of a drain from discovery tells all; another's word only takes a replica out, for one start of it, never more than half of them, and until the own list confirms it. Off where an agent has the list, or where no messages are allowed. The module is unchanged.

Test: 2 to 300 routers in virtual time over a network that loses and repeats; words that are late, broken or lies.

--- /dev/null
+++ b/src/core/drains.cpp
@@ -0,0 +1,153 @@
+#include "core/drains.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "records.hpp"
+
+namespace sprucecourse::core {
+namespace {
+
+constexpr std::uint8_t kMark = 0x44, kVersion = 1;
+constexpr std::size_t kHead = 2, kEach = 8;
+constexpr std::uint32_t kTimer = 0xfffffff1;  // the module's own count from 0
+
+std::uint32_t start_of(const ReplicaListing& replica) { return static_cast<std::uint32_t>(replica.started / 1000); }
+
+void put(std::string& bytes, std::uint32_t value) {
+  for (int shift = 0; shift < 32; shift += 8) bytes += static_cast<char>(value >> shift & 0xff);
+}
+
+std::uint32_t get(std::span<const std::uint8_t> bytes) {
+  std::uint32_t value = 0;
+  for (std::size_t i = 4; i-- > 0;) value = value << 8 | bytes[i];
+  return value;
+}
+
+}  // namespace
+
+Drains::Drains(std::unique_ptr<Decider> inner, const Settings& settings)
+    : Outer(std::move(inner)), settings_(settings), random_(mix(settings.seed ^ kTimer)) {}
+
+// ---------------------------------------------------------------- the own list
+
+void Drains::on_directory(Time now, DirectoryScope scope, std::span<const ReplicaListing> entries) {
+  if (scope == DirectoryScope::failed) return Outer::on_directory(now, scope, entries);
+  const bool news = scope != DirectoryScope::cached;  // a list from before the start is nobody's news
+  if (scope != DirectoryScope::delta) {
+    auto before = std::exchange(listed_, {});
+    for (const auto& entry : entries) before.erase(entry.id);
+    for (const auto& [id, replica] : before) {
+      if (news) lost(now, replica);
+    }
+  }
+  std::vector<ReplicaListing> believed;
+  for (const auto& entry : entries) {
+    const auto known = listed_.find(entry.id);
+    const bool was_ready = known != listed_.end();
+    if (entry.state == Listed::ready) {
+      // Another start than the one that others spoke of.
+      if (was_ready && known->second.started != entry.started) words_.erase(entry.id);
+      listed_[entry.id] = entry;
+    } else if (was_ready) {
+      if (news) lost(now, known->second);
+      listed_.erase(known);
+    }
+    believed.push_back(as_believed(entry));
+  }
+  std::erase_if(words_, [&](const auto& word) { return !listed_.contains(word.first); });
+  Outer::on_directory(now, scope, believed);
+}
+
+ReplicaListing Drains::as_believed(const ReplicaListing& entry) const {
+  ReplicaListing told = entry;
+  if (told.state == Listed::ready && words_.contains(told.id)) told.state = Listed::draining;
+  return told;
+}
+
+// The own list says so now: the others may not know.
+void Drains::lost(Time now, const ReplicaListing& replica) {
+  if (words_.erase(replica.id) > 0 || to_tell_.size() >= kMostWords) return;
+  random_ = mix(random_);
+  const Time when = now + static_cast<Time>(unit(random_) * static_cast<double>(kSpread));
+  to_tell_[replica.id] = {start_of(replica), when};
+  wake_at(when);
+}
+
+// ---------------------------------------------------------------- the others
+
+void Drains::on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> bytes) {
+  if (bytes.empty() || bytes[0] != kMark) return Outer::on_peer_message(now, peer, bytes);
+  if (peer == settings_.rank) return;
+  const std::size_t count = (bytes.size() - std::min(bytes.size(), kHead)) / kEach;
+  if (count == 0 || count > kMost || bytes.size() != kHead + count * kEach || bytes[1] != kVersion) {
+    ++unreadable_;
+    return;
+  }
+  for (std::size_t at = kHead; at < bytes.size(); at += kEach) hear(now, get(bytes.subspan(at)), get(bytes.subspan(at + 4)));
+}
+
+void Drains::hear(Time now, ReplicaId id, std::uint32_t start) {
+  if (const auto found = to_tell_.find(id); found != to_tell_.end() && found->second.first == start) to_tell_.erase(found);
+  const auto known = listed_.find(id);
+  if (known == listed_.end() || start_of(known->second) != start || words_.contains(id)) return;
+  // Guards against a router that is out of its mind.
+  if (2 * (words_.size() + 1) > listed_.size() || words_.size() >= kMostWords) return;
+  ++believed_;
+  const Time until = now + static_cast<Time>(kBelieved * static_cast<double>(settings_.ask_within));
+  words_[id] = until;
+  const ReplicaListing entry = as_believed(known->second);
+  Outer::on_directory(now, DirectoryScope::delta, {&entry, 1});
+  wake_at(until);
+}
+
+// ---------------------------------------------------------------- time
+
+void Drains::on_timer(Time now, std::uint32_t token) {
+  if (token != kTimer) return Outer::on_timer(now, token);
+  speak(now);
+  forget_old(now);
+}
+
+void Drains::speak(Time now) {
+  std::string message;
+  for (auto at = to_tell_.begin(); at != to_tell_.end() && message.size() < kHead + kMost * kEach;) {
+    if (at->second.second > now) {
+      ++at;
+      continue;
+    }
+    if (message.empty()) message = {static_cast<char>(kMark), static_cast<char>(kVersion)};
+    put(message, at->first);
+    put(message, at->second.first);
+    at = to_tell_.erase(at);
+  }
+  if (message.empty()) return;
+  ++told_;
+  own_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = std::move(message)});
+  if (!to_tell_.empty()) wake_at(now + kSpread);
+}
+
+void Drains::forget_old(Time now) {
+  for (auto at = words_.begin(); at != words_.end();) {
+    if (at->second > now) {
+      ++at;
+      continue;
+    }
+    const auto known = listed_.find(at->first);
+    at = words_.erase(at);
+    if (known != listed_.end()) Outer::on_directory(now, DirectoryScope::delta, {&known->second, 1});
+  }
+}
+
+void Drains::wake_at(Time when) {
+  own_.push_back({.kind = ActionKind::set_timer, .time = when, .token = kTimer});
+}
+
+std::vector<Action> Drains::take_actions() {
+  auto actions = Outer::take_actions();
+  for (auto& action : own_) actions.push_back(std::move(action));
+  own_.clear();
+  return actions;
+}
+
+}  // namespace sprucecourse::core
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/drains.hpp"
 #include "keeping/learned.hpp"
 #include "logging/log.hpp"
 #include "node/meaning.hpp"
@@ -192,6 +193,16 @@
 }
 
 std::unique_ptr<core::Decider> Node::make_decider() {
+  auto decider = make_choosing();
+  const Settings& settings = config_.settings;
+  // An agent has the list itself; elsewhere a router may hear of a drain late, and the others tell it.
+  if (settings.may_tell_peers && settings.directory_must_ask && settings.group_size > 1) {
+    decider = std::make_unique<core::Drains>(std::move(decider), settings);
+  }
+  return decider;
+}
+
+std::unique_ptr<core::Decider> Node::make_choosing() {
   const Time now = net::now_us();
   if (config_.added.catalogue.empty()) return make_gated(config_.settings, now);
   models::Pools::Options options;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -91,6 +91,7 @@
   void watch_quiet();
   std::string uid_of(ReplicaId target) const;
   std::unique_ptr<core::Decider> make_decider();
+  std::unique_ptr<core::Decider> make_choosing();
   std::unique_ptr<core::Decider> make_gated(const Settings& settings, Time now);
   void print_models(std::ostream& out) const;
   void take_models(const Config& config);
--- /dev/null
+++ b/tests/core/drains.cpp
@@ -0,0 +1,174 @@
+// What drains, told among many routers in virtual time, over a network that loses, repeats and delays.
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <catch2/catch.hpp>
+#include <limits>
+#include <memory>
+
+#include "core/drains.hpp"
+
+using namespace sprucecourse;
+using core::Drains;
+
+namespace {
+
+constexpr Time kSecond = 1'000'000;
+
+// Whoever decides: here it only remembers what it was told of the list.
+struct Listener : core::Decider {
+  explicit Listener(std::map<ReplicaId, Listed>& of) : states(of) {}
+  void on_directory(Time, DirectoryScope, std::span<const ReplicaListing> entries) override {
+    for (const auto& entry : entries) states[entry.id] = entry.state;
+  }
+  void on_request(Time, const Request&) override {}
+  void on_first_token(Time, RequestId, std::uint8_t, ReplicaId, Time) override {}
+  void on_attempt_result(Time, const AttemptResult&) override {}
+  void on_client_gone(Time, RequestId) override {}
+  void on_timer(Time, std::uint32_t) override { ++timers; }
+  void on_probe_result(Time, ReplicaId, bool, std::span<const float>) override {}
+  void on_peer_message(Time, std::uint32_t, std::span<const std::uint8_t>) override { ++messages; }
+  std::vector<Action> take_actions() override { return {}; }
+  std::map<ReplicaId, Listed>& states;
+  int timers = 0, messages = 0;
+};
+
+std::vector<ReplicaListing> boxes(int count) {
+  std::vector<ReplicaListing> all;
+  for (int i = 1; i <= count; ++i) all.push_back({.id = static_cast<ReplicaId>(i), .started = i * kSecond});
+  return all;
+}
+
+struct Group {
+  struct Router {
+    std::map<ReplicaId, Listed> states;
+    std::unique_ptr<Drains> drains;
+  };
+  Group(int count, int box_count, double loss, std::uint64_t seed) : lost(loss), dice(seed), routers(static_cast<std::size_t>(count)) {
+    for (std::uint32_t i = 0; i < routers.size(); ++i) {
+      Settings settings;
+      settings.rank = i, settings.seed = seed * 1000 + i, settings.may_tell_peers = true;
+      routers[i].drains = std::make_unique<Drains>(std::make_unique<Listener>(routers[i].states), settings);
+      routers[i].drains->on_directory(now, DirectoryScope::full, boxes(box_count));
+    }
+  }
+  double chance() { return boost::random::uniform_01<double>()(dice); }
+  void collect(std::uint32_t i) {
+    for (const auto& action : routers[i].drains->take_actions()) {
+      if (action.kind == ActionKind::set_timer) events.emplace(action.time, [this, i, token = action.token] { routers[i].drains->on_timer(now, token); });
+      if (action.kind != ActionKind::tell_peer) continue;
+      REQUIRE(action.message.size() <= 256);
+      ++messages;
+      for (std::uint32_t to = 0; to < routers.size(); ++to) {
+        for (int copies = chance() < lost ? 0 : chance() < 0.1 ? 2 : 1; copies > 0; --copies) say(i, to, action.message);
+      }
+    }
+  }
+  void say(std::uint32_t from, std::uint32_t to, const std::string& message) {
+    events.emplace(now + 2'000 + static_cast<Time>(chance() * 20'000), [this, from, to, message] {
+      routers[to].drains->on_peer_message(now, from, {reinterpret_cast<const std::uint8_t*>(message.data()), message.size()});
+    });
+  }
+  void learn(std::uint32_t i, const ReplicaListing& entry) {
+    routers[i].drains->on_directory(now, DirectoryScope::delta, {&entry, 1});
+    collect(i);
+  }
+  void run_to(Time end) {
+    while (!events.empty() && events.begin()->first <= end) {
+      auto event = events.extract(events.begin());
+      now = std::max(now, event.key());
+      event.mapped()();
+      for (std::uint32_t i = 0; i < routers.size(); ++i) collect(i);
+    }
+    now = end;
+  }
+  int told(ReplicaId id) const {
+    return static_cast<int>(std::count_if(routers.begin(), routers.end(), [&](auto& r) { return r.states.at(id) != Listed::ready; }));
+  }
+
+  Time now = 1000 * kSecond;
+  double lost;
+  boost::random::mt19937_64 dice;
+  std::vector<Router> routers;
+  std::multimap<Time, std::function<void()>> events;
+  int messages = 0;
+};
+
+ReplicaListing drained(ReplicaId id) { return {.id = id, .state = Listed::draining, .started = id * kSecond}; }
+
+std::string word(ReplicaId id, std::uint32_t start) {
+  std::string bytes{0x44, 1};
+  for (const auto value : {id, start}) {
+    for (int shift = 0; shift < 32; shift += 8) bytes += static_cast<char>(value >> shift & 0xff);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+TEST_CASE("a drain that one router learns of is kept by all within half a second") {
+  const int count = GENERATE(2, 4, 30, 300);
+  const auto seed = GENERATE(1u, 2u);
+  CAPTURE(count, seed);
+  Group group(count, 10, 0, seed);
+  group.learn(0, drained(3));
+  group.run_to(group.now + kSecond / 2);
+  CHECK(group.told(3) == count);
+  CHECK(group.told(4) == 0);
+  CHECK(group.messages == 1);  // nobody passes on what others have said
+}
+
+TEST_CASE("routers that learn together do not all speak, and loss is made up for") {
+  const auto seed = GENERATE(1u, 2u, 3u);
+  Group group(300, 40, 0.2, seed);
+  for (std::uint32_t i = 0; i < 240; ++i) group.learn(i, drained(3));
+  group.run_to(group.now + kSecond / 2);
+  CHECK(group.messages < 60);
+  CHECK(group.told(3) == 300);
+}
+
+TEST_CASE("another's word ends with the router's own list, with another start, or in time") {
+  Group group(2, 10, 0, 7);
+  group.learn(0, drained(3));
+  group.run_to(group.now + kSecond);
+  REQUIRE(group.told(3) == 2);
+  // The same list as before does not bring it back, a start anew does.
+  group.learn(1, {.id = 3, .started = 3 * kSecond});
+  CHECK(group.told(3) == 2);
+  group.learn(1, {.id = 3, .started = 2000 * kSecond});
+  CHECK(group.told(3) == 1);
+  // A late word of the earlier start is no news.
+  group.say(0, 1, word(3, 3000));
+  group.run_to(group.now + kSecond);
+  CHECK(group.told(3) == 1);
+  group.learn(0, drained(5));
+  group.run_to(group.now + kSecond);
+  CHECK(group.told(5) == 2);
+  group.run_to(group.now + 60 * kSecond);
+  CHECK(group.told(5) == 1);  // its own list never said so
+}
+
+TEST_CASE("a router out of its mind takes out half of the ready replicas at the most, and broken messages nothing") {
+  Group group(2, 10, 0, 7);
+  for (ReplicaId id = 1; id <= 10; ++id) group.say(0, 1, word(id, id * 1000));
+  for (const std::string& broken : {std::string{0x44}, std::string{0x44, 1}, std::string{0x44, 2} + word(9, 9000).substr(2),
+                                    word(9, 9000) + "x", std::string{0x44, 1} + std::string(8 * 32, 'x')}) {
+    group.say(0, 1, broken);
+  }
+  group.run_to(group.now + kSecond);
+  int out = 0;
+  for (ReplicaId id = 1; id <= 10; ++id) out += group.told(id);
+  CHECK(out == 5);
+  CHECK(group.routers[1].drains->unreadable() == 5);
+}
+
+TEST_CASE("what is not about drains goes on to whoever decides") {
+  std::map<ReplicaId, Listed> states;
+  auto inner = std::make_unique<Listener>(states);
+  Listener* listener = inner.get();
+  Drains drains(std::move(inner), {});
+  const std::uint8_t note[] = {0x54, 1, 0, 0, 0, 0, 1};
+  drains.on_peer_message(0, 1, note);
+  drains.on_timer(0, 1);
+  CHECK(listener->messages == 1);
+  CHECK(listener->timers == 1);
+}
