Let what routers tell each other cost the same however many there are

Change: beyond 16 routers one of (group / 16) notes is told, and stands for as many where it raises shedding; three points of others eject a replica instead of six, since fewer are told. Of drains, routers that learn together now wait up to 0.4 s, by their number, so that six speak and not eighteen.

--- a/src/core/drains.cpp
+++ b/src/core/drains.cpp
@@ -1,6 +1,5 @@
 #include "core/drains.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include "records.hpp"
@@ -9,7 +8,7 @@
 namespace {
 
 constexpr std::uint8_t kMark = 0x44, kVersion = 1;
-constexpr std::size_t kHead = 2, kEach = 8;
+constexpr std::size_t kHead = 2, kWord = 8;
 constexpr std::uint32_t kTimer = 0xfffffff1;  // the module's own count from 0
 
 std::uint32_t start_of(const ReplicaListing& replica) { return static_cast<std::uint32_t>(replica.started / 1000); }
@@ -69,7 +68,7 @@
 void Drains::lost(Time now, const ReplicaListing& replica) {
   if (words_.erase(replica.id) > 0 || to_tell_.size() >= kMostWords) return;
   random_ = mix(random_);
-  const Time when = now + static_cast<Time>(unit(random_) * static_cast<double>(kSpread));
+  const Time when = now + static_cast<Time>(unit(random_) * static_cast<double>(spread()));
   to_tell_[replica.id] = {start_of(replica), when};
   wake_at(when);
 }
@@ -79,12 +78,12 @@
 void Drains::on_peer_message(Time now, std::uint32_t peer, std::span<const std::uint8_t> bytes) {
   if (bytes.empty() || bytes[0] != kMark) return Outer::on_peer_message(now, peer, bytes);
   if (peer == settings_.rank) return;
-  const std::size_t count = (bytes.size() - std::min(bytes.size(), kHead)) / kEach;
-  if (count == 0 || count > kMost || bytes.size() != kHead + count * kEach || bytes[1] != kVersion) {
+  const std::size_t count = (bytes.size() - std::min(bytes.size(), kHead)) / kWord;
+  if (count == 0 || count > kMost || bytes.size() != kHead + count * kWord || bytes[1] != kVersion) {
     ++unreadable_;
     return;
   }
-  for (std::size_t at = kHead; at < bytes.size(); at += kEach) hear(now, get(bytes.subspan(at)), get(bytes.subspan(at + 4)));
+  for (std::size_t at = kHead; at < bytes.size(); at += kWord) hear(now, get(bytes.subspan(at)), get(bytes.subspan(at + 4)));
 }
 
 void Drains::hear(Time now, ReplicaId id, std::uint32_t start) {
@@ -111,7 +110,7 @@
 
 void Drains::speak(Time now) {
   std::string message;
-  for (auto at = to_tell_.begin(); at != to_tell_.end() && message.size() < kHead + kMost * kEach;) {
+  for (auto at = to_tell_.begin(); at != to_tell_.end() && message.size() < kHead + kMost * kWord;) {
     if (at->second.second > now) {
       ++at;
       continue;
@@ -124,7 +123,7 @@
   if (message.empty()) return;
   ++told_;
   own_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = std::move(message)});
-  if (!to_tell_.empty()) wake_at(now + kSpread);
+  if (!to_tell_.empty()) wake_at(now + spread());
 }
 
 void Drains::forget_old(Time now) {
--- a/src/core/drains.hpp
+++ b/src/core/drains.hpp
@@ -6,12 +6,12 @@
 // touch the next one; it is forgotten when the router's own list confirms it, or after kBelieved x ask_within. A
 // message that is cut, of another version or too long changes nothing and is counted.
 //
-// Routers that learn of a drain in the same moment wait for a random part of kSpread; one that hears it from another
-// meanwhile stays silent.
+// Routers that learn of a drain in the same moment wait for a random part of spread(); one that hears it from another
+// meanwhile stays silent. So few speak, however many there are: as many as fit into the time that a message takes.
 #pragma once
 
+#include <algorithm>
 #include <map>
-#include <set>
 
 #include "core/decider.hpp"
 
@@ -20,7 +20,7 @@
 class Drains final : public Outer {
  public:
   static constexpr std::size_t kMost = 31;   // in a message: 2 bytes ahead, 8 for each
-  static constexpr Time kSpread = 200'000;   // microseconds; several times what a message takes
+  static constexpr Time kEach = 2'000, kMostSpread = 400'000;  // microseconds, for each router and in all
   static constexpr double kBelieved = 2.4;   // the longest pause of a large group between two calls of discovery
   static constexpr std::size_t kMostWords = 1024;
 
@@ -36,6 +36,7 @@
   std::uint64_t unreadable() const { return unreadable_; }  // messages that were no such thing
 
  private:
+  Time spread() const { return std::min<Time>(kMostSpread, kEach * settings_.group_size); }
   void lost(Time now, const ReplicaListing& replica);
   void hear(Time now, ReplicaId id, std::uint32_t start);
   ReplicaListing as_believed(const ReplicaListing& entry) const;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -69,7 +69,7 @@
 constexpr std::uint32_t kDirectoryTimer = 0, kNotesTimer = 1;
 constexpr std::uint32_t kThin = 16;       // routers beyond which each sees too little of a replica alone ...
 constexpr double kOneOf = 8;              // ... and weighs what it sees as one of so many in the group
-constexpr double kToldEject = 6;          // points told of by others, fading, that eject a replica
+constexpr double kToldEject = 3;          // points told of by others, fading, that eject a replica
 constexpr double kPaceMend = 10'000'000;  // microseconds in which a single pace mends in a large group
 
 }  // namespace
@@ -177,23 +177,21 @@
     spill_ = std::clamp(spill_, 0.0, kMaxSpill);
   }
 
-  // A router of a large group sees too few answers to learn in time, so all tell each other of the bad ones.
+  // In a large group each sees too few answers, so all tell of bad ones: the more pay for a note, the fewer.
   bool thin() const { return settings_.may_tell_peers && settings_.group_size > kThin; }
+  double words() const { return std::max(1.0, settings_.group_size / double{kThin}); }
   double jam() const { return kShedUp * (thin() ? kOneOf / settings_.group_size : 1); }
 
   void tell(Time now, const Replica& r, Seen seen) {
-    if (thin() && notes_.add({r.listing.id, seen})) set_timer(now + Notes::kGather, kNotesTimer);
-  }
-
-  void tell_all() {
-    actions_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = notes_.message()});
+    if (!thin() || draw() * words() >= 1 || !notes_.add({r.listing.id, seen})) return;
+    set_timer(now + Notes::kGather, kNotesTimer);
   }
 
   void told(Time now, const Note& note) {
     const auto found = replicas_.find(note.replica);
     if (found == replicas_.end()) return;
     Replica& r = found->second;
-    if (note.seen == Seen::late) shed_ = std::min(kMaxShed, shed_ + jam());
+    if (note.seen == Seen::late) shed_ = std::min(kMaxShed, shed_ + words() * jam());
     if (note.seen >= Seen::slow) r.pace = std::max(kMinPace, r.pace * (1 - kSinglePaceDown));
     if (note.seen >= Seen::slow || now < r.ejected_until) return;
     if (r.told.add(now, note.seen == Seen::silent ? kSlowPoints : kQuickPoints) < kToldEject) return;
@@ -667,7 +665,8 @@
 
   void timer(Time now, std::uint32_t token) {
     if (token == kDirectoryTimer) return ask();
-    if (token == kNotesTimer) return tell_all();
+    if (token == kNotesTimer)
+      actions_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = notes_.message()});
     const auto review_of = reviews_.find(token);
     if (review_of == reviews_.end()) return;
     const auto found = pending_.find(review_of->second);
--- a/tests/core/drains.cpp
+++ b/tests/core/drains.cpp
@@ -46,7 +46,7 @@
   Group(int count, int box_count, double loss, std::uint64_t seed) : lost(loss), dice(seed), routers(static_cast<std::size_t>(count)) {
     for (std::uint32_t i = 0; i < routers.size(); ++i) {
       Settings settings;
-      settings.rank = i, settings.seed = seed * 1000 + i, settings.may_tell_peers = true;
+      settings.group_size = static_cast<std::uint32_t>(count), settings.rank = i, settings.seed = seed * 1000 + i, settings.may_tell_peers = true;
       routers[i].drains = std::make_unique<Drains>(std::make_unique<Listener>(routers[i].states), settings);
       routers[i].drains->on_directory(now, DirectoryScope::full, boxes(box_count));
     }
@@ -122,7 +122,7 @@
   Group group(300, 40, 0.2, seed);
   for (std::uint32_t i = 0; i < 240; ++i) group.learn(i, drained(3));
   group.run_to(group.now + kSecond / 2);
-  CHECK(group.messages < 60);
+  CHECK(group.messages < 20);
   CHECK(group.told(3) == 300);
 }
 
--- a/tests/notes_test.cpp
+++ b/tests/notes_test.cpp
@@ -121,16 +121,41 @@
 }
 
 TEST(LargeGroup, TellsOthersOnceAndInOneMessage) {
-  Fixture f(thin_settings());
+  auto s = thin_settings();
+  s.group_size = 17;  // the smallest in which anything is told: all of it
+  Fixture f(s);
   f.list_plain(2);
-  for (int i = 0; i < 5; ++i) {
+  for (int i = 0; i < 20; ++i) {
     const auto to = Fixture::sent_replica(f.arrive_sized(100));
     f.result(f.last.id, 0, to, Outcome::connect_failed);
   }
   const auto told = only(f.advance(kSecond), ActionKind::tell_peer);
   ASSERT_EQ(told.size(), 1u);
   EXPECT_EQ(told[0].token, Notes::kAll);
-  EXPECT_GE(told[0].message.size(), 2u + 5 * 5);
+  EXPECT_GE(told[0].message.size(), 2u + 15 * 5);
+}
+
+// Each note is paid for at every router: told of everything, 300 routers paid a tenth of the day's result.
+TEST(LargeGroup, WhatANoteCostsAllTogetherDoesNotGrowWithTheGroup) {
+  std::vector<double> paid;
+  for (const std::uint32_t group : {17u, 100u, 300u}) {
+    auto s = thin_settings();
+    s.group_size = group;
+    s.max_attempts = 1;
+    Fixture f(s);
+    f.list_plain(40);
+    double bytes = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const auto to = Fixture::sent_replica(f.arrive_sized(100));
+      f.result(f.last.id, 0, to, Outcome::connect_failed);
+      for (const auto& action : only(f.advance(kSecond / 2), ActionKind::tell_peer)) bytes += static_cast<double>(action.message.size());
+    }
+    paid.push_back(bytes * group);
+  }
+  EXPECT_GT(paid[0], 0);
+  EXPECT_LT(paid[1], 1.5 * paid[0]);
+  EXPECT_LT(paid[2], 1.5 * paid[0]);
+  EXPECT_GT(paid[2], 0.3 * paid[0]);
 }
 
 // Guards against cutoffs of a few sizes: sessions would have another place at each router.
