Look at the client's socket in the moment of sending: nothing for one that has gone

Seen by reading: the end of a client's connection was known only from reading it in order (clients.cpp, arrived): behind 64 KiB of unread pipelined bytes, or in the same round of the loop as a replica's answer, an attempt still began.

Test: the core without sockets (before the first hop, between two, while a connection comes up); a scenario with 90,000 bytes behind the request.

--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -44,6 +44,16 @@
   pump();
 }
 
+// Guards against work for nobody: the news of a client's end may stand in the kernel, behind bytes that nobody reads yet
+// or behind the event that is handled now.
+bool Exchanges::still_wanted(HopId hop) {
+  const Exchange* x = current(hop);
+  if (x == nullptr) return false;
+  if (x->reply->client_there()) return true;
+  client_gone(hop.exchange);
+  return false;
+}
+
 void Exchanges::client_congested(RequestId exchange, bool on) {
   const auto found = exchanges_.find(exchange);
   if (found == exchanges_.end() || !found->second.hop_out) return;
@@ -266,6 +276,11 @@
         {.id = action.id, .attempt = hop.number, .replica = action.replica, .outcome = Outcome::not_sent});
     return;
   }
+  if (!x.reply->client_there()) {
+    client_gone(action.id);
+    ++counters_.outcomes[Outcome::not_sent];
+    return decider_->on_attempt_result(now, {.id = action.id, .attempt = hop.number, .replica = action.replica, .outcome = Outcome::not_sent});
+  }
   x.hop = hop;
   x.hop_out = true;
   x.failed = false;
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -27,6 +27,9 @@
   virtual void break_off() = 0;                        // part of it went out, the rest will not come
   virtual void shed(Time come_back) = 0;               // refused: repeating does no harm
   virtual void fail(Failure why, Time come_back) = 0;  // no promise about what ran
+  // Its client is there, as far as its connection tells at this moment. False: the exchange is given up, and nothing
+  // more is called.
+  virtual bool client_there() { return true; }
   // Refused for what the allowance says: come back when there is room (0: it will never fit).
   virtual void refused_for(const Allowance&, Time come_back) { shed(come_back); }
 };
@@ -94,6 +97,9 @@
   void hop_event(HopId hop, const StreamEvent& event);
   void hop_ended(HopId hop, Outcome outcome, std::span<const float> report = {});
   void probed(ReplicaId target, bool alive, std::span<const float> report);
+  // Asked before the first byte of a hop goes out, which may be long after its launch. False: the client has gone
+  // meanwhile, and the hop is abandoned on return.
+  bool still_wanted(HopId hop);
 
   // From discovery, the peers and the clock.
   void listed(DirectoryScope scope, std::span<const ReplicaListing> entries);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -127,6 +127,12 @@
     answered();
   }
 
+  bool client_there() override {
+    if (!stream_.ended_now()) return true;
+    next_.start(0, [this] { leave(); });  // not from within the core's call
+    return false;
+  }
+
   void fail(core::Failure why, Time come_back) override {
     const bool late = why == core::Failure::timed_out;
     answer(dialect().error(late ? fronts::Refusal::timed_out : fronts::Refusal::failed,
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,6 +3,7 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -328,6 +329,12 @@
   return open() && (g_socket_condition_check(socket_.get(), G_IO_IN) & G_IO_IN) != 0;
 }
 
+bool Stream::ended_now() const {
+  if (!open() || ended_) return true;
+  pollfd asked{g_socket_get_fd(socket_.get()), POLLRDHUP, 0};
+  return poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Stream::hold(bool on) {
   held_ = on;
   if (on) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -117,6 +117,8 @@
   bool open() const { return socket_ != nullptr; }
   bool broken() const { return ended_; }
   bool readable_now() const;
+  // The other side has ended its sending, or the connection is broken, whatever is still unread before that.
+  bool ended_now() const;
 
  private:
   void watch_reading();
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -131,6 +131,7 @@
       limit_.start(until_ - now_us(), [this] { finish(Outcome::timed_out, false); });
       return stream_.write("GET /stats HTTP/1.1\r\nHost: backend.local\r\n\r\n");
     }
+    if (!owner_.core_->still_wanted(hop_)) return;
     // Guards rule 3: the list may have changed while the connection came up.
     if (!owner_.routes_.may_send(target_)) {
       ++owner_.counters_.drained_meanwhile;
--- a/tests/net/core.cpp
+++ b/tests/net/core.cpp
@@ -34,6 +34,7 @@
   void break_off() override { ++broken; }
   void shed(Time back) override { ++refused, come_back = back; }
   void fail(Failure, Time back) override { ++failed, come_back = back; }
+  bool client_there() override { return there; }
   int answers() const { return whole + broken + refused + failed; }
 
   void list(Exchanges& core, int count) {
@@ -54,6 +55,7 @@
 
   static constexpr Time kNever = std::numeric_limits<Time>::max();
   Settings settings;
+  bool there = true;
   Time time = 1'000'000'000, wake = kNever, come_back = 0;
   std::vector<HopId> out;
   int launched = 0, whole = 0, broken = 0, refused = 0, failed = 0;
@@ -136,6 +138,40 @@
   CHECK(core.counters().gone == 1);
 }
 
+TEST_CASE("nothing is sent for a client whose end nobody has read yet") {
+  World world;
+  Exchanges core(world.settings, {world, world, world, world});
+  SECTION("before the first hop") {
+    world.ask(core);  // waits: there is no list
+    world.there = false;
+    world.list(core, 3);
+    world.advance_to(core, world.time + 6'000'000);
+    CHECK(world.launched == 0);
+  }
+  SECTION("between two hops") {
+    world.list(core, 3);
+    world.ask(core);
+    world.there = false;
+    const HopId hop = std::exchange(world.out, {}).back();
+    core.hop_ended(hop, Outcome::connect_failed);
+    CHECK(world.launched == 1);
+  }
+  SECTION("while a hop's connection comes up") {
+    world.list(core, 3);
+    world.ask(core);
+    const HopId hop = world.out.back();
+    CHECK(core.still_wanted(hop));
+    world.there = false;
+    CHECK_FALSE(core.still_wanted(hop));
+    CHECK(world.out.empty());
+  }
+  CHECK(core.open() == 0);
+  CHECK(core.counters().gone == 1);
+  CHECK(world.answers() == 0);
+  world.advance_to(core, world.time + 6'000'000);
+  CHECK(core.alarms() == 0);
+}
+
 // A client that would wait for an hour once left its alarms behind for as long.
 TEST_CASE("no alarm outlives its exchange") {
   World world;
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -474,6 +474,25 @@
   )");
 }
 
+// What lies unread before it hides the end of a connection from whoever reads in order.
+TEST_CASE("a client that closed behind bytes that nobody reads gets no hop") {
+  Play play({.known_state = "DRAINING"});
+  play.run(R"(
+    list expect GET /registry/instances?after=1&wait_ms=0 
+    client2 send $ask(r1)$fill(90000)
+    wait 50
+    client2 close
+    client3 send $ask(r2)
+    wait 50
+    list send $json({"rev":2,"all":false,"targets":[{"uid":"s-01","state":"SERVING"}]})
+    hop1 expect X-Request-ID: r2\r\n
+    hop1 send $stream$delta(one)$done
+    client3 expect \r\n0\r\n\r\n
+    router expect gone=1
+    router expect hops=1
+  )");
+}
+
 TEST_CASE("a failed call of discovery is made again, and the list that is known stays good") {
   Play play;
   play.run(R"(
