Divide what a cold replica may get among all routers by their numbers, without a message

Wanted: what all routers send to a replica that has just started is bounded, not left to independent coins.

Change: core/cold_budget stands in front of whoever decides. Of N = tip_multiple x present capacity x tip_after, known from the members' quotas and listed weights, each quarter of a window gives out a fifth in numbered parts that come round in turn by rank; a process that has just started sends nothing in its first step. A send that is not covered is not_sent at once and goes elsewhere.

--- a/src/core/decider.hpp
+++ b/src/core/decider.hpp
@@ -10,6 +10,9 @@
 
 namespace sprucecourse::core {
 
+// A time-out of a send that the core does not launch: its outcome is `not_sent`, and it keeps its number.
+inline constexpr Time kNotSent = -1;
+
 class Decider {
  public:
   virtual ~Decider() = default;
--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -269,7 +269,7 @@
   Exchange& x = found->second;
   const Time now = around_.clock.now();
   const HopId hop{action.id, x.sends++};
-  if (x.started || x.hop_out || hop.number >= most_hops_ || now >= x.arrival.request.due) {
+  if (x.started || x.hop_out || hop.number >= most_hops_ || now >= x.arrival.request.due || action.time == kNotSent) {
     ++counters_.outcomes[Outcome::not_sent];
     decider_->on_attempt_result(
         now,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/cold_budget.hpp"
 #include "core/drains.hpp"
 #include "keeping/learned.hpp"
 #include "logging/log.hpp"
@@ -193,8 +194,8 @@
 }
 
 std::unique_ptr<core::Decider> Node::make_decider() {
-  auto decider = make_choosing();
   const Settings& settings = config_.settings;
+  std::unique_ptr<core::Decider> decider = std::make_unique<core::ColdBudget>(make_choosing(), settings, net::now_us());
   // An agent has the list itself; elsewhere a router may hear of a drain late, and the others tell it.
   if (settings.may_tell_peers && settings.directory_must_ask && settings.group_size > 1) {
     decider = std::make_unique<core::Drains>(std::move(decider), settings);
--- a/tests/net/core.cpp
+++ b/tests/net/core.cpp
@@ -1,6 +1,7 @@
 // The core without sockets: a clock that is set by hand, and an egress that only keeps count.
 #include <catch2/catch.hpp>
 
+#include "core/cold_budget.hpp"
 #include "core/exchanges.hpp"
 
 using namespace sprucecourse;
@@ -138,6 +139,28 @@
   CHECK(core.counters().gone == 1);
 }
 
+// All that is ready has just started: it gets what it can bear, and the others of a crowd their answer at once.
+TEST_CASE("a crowd at a cold replica is answered, and no more of it is sent than the budget covers") {
+  World world;
+  world.settings.tenants.push_back({.share = 1, .quota_per_s = 5});
+  world.settings.cold = 8'700'000, world.settings.cold_from = 0.3, world.settings.tip_multiple = 3, world.settings.tip_after = 2'000'000;
+  auto budget = std::make_unique<ColdBudget>(make_module(world.settings, world.time), world.settings, world.time - 10'000'000);
+  Exchanges core(world.settings, {world, world, world, world}, std::move(budget));
+  const ReplicaListing cold[] = {{.id = 1, .started = world.time - 4'000'000}};
+  core.listed(DirectoryScope::full, cold);
+  for (int i = 0; i < 200; ++i) {
+    const auto id = world.ask(core);
+    if (world.out.empty()) continue;
+    core.hop_event(world.out.back(), delta("one"));
+    core.client_gone(id);
+  }
+  // 3 x 0.62 x 5 x 2 in a window, a fifth of it in this quarter.
+  CHECK(world.launched >= 1);
+  CHECK(world.launched <= 5);
+  CHECK(core.open() == 0);
+  CHECK(world.refused + world.failed == 200 - world.launched);
+}
+
 TEST_CASE("nothing is sent for a client whose end nobody has read yet") {
   World world;
   Exchanges core(world.settings, {world, world, world, world});
