Tell of every bad answer up to 40 routers: one in (group / 16) was too little at a hundred

One note in 6 reached others (rules.cpp, words).

Change: one in (group / 40): 2.5 at a hundred routers, 7.5 at 300. The test passes as it stands. The test of what notes cost begins at 40 routers, for below all are told.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -69,7 +69,7 @@
 constexpr std::uint32_t kDirectoryTimer = 0, kNotesTimer = 1;
 constexpr std::uint32_t kThin = 16;       // routers beyond which each sees too little of a replica alone ...
 constexpr double kOneOf = 8;              // ... and weighs what it sees as one of so many in the group
-constexpr double kToldEject = 3;          // points told of by others, fading, that eject a replica
+constexpr double kToldEject = 3, kSpeakers = 40;  // points of others that eject; routers that tell of all
 constexpr double kPaceMend = 10'000'000;  // microseconds in which a single pace mends in a large group
 
 }  // namespace
@@ -179,7 +179,7 @@
 
   // In a large group each sees too few answers, so all tell of bad ones: the more pay for a note, the fewer.
   bool thin() const { return settings_.may_tell_peers && settings_.group_size > kThin; }
-  double words() const { return std::max(1.0, settings_.group_size / double{kThin}); }
+  double words() const { return std::max(1.0, settings_.group_size / kSpeakers); }
   double jam() const { return kShedUp * (thin() ? kOneOf / settings_.group_size : 1); }
 
   void tell(Time now, const Replica& r, Seen seen) {
