Take out of the call plan the time of the last whole list, which nobody asks for

fresh() and deadline() had no caller; what was handed in for them goes too. Behaviour, bounds and checks are as they were. core: and the net: tests of lists, discovery and calls pass.

--- a/src/core/call_plan.cpp
+++ b/src/core/call_plan.cpp
@@ -20,8 +20,7 @@
 
 }  // namespace
 
-CallPlan::CallPlan(const Options& options, Time now, Chance chance)
-    : options_(options), chance_(std::move(chance)), fresh_(now) {
+CallPlan::CallPlan(const Options& options, Chance chance) : options_(options), chance_(std::move(chance)) {
   if (options.pushed) {
     period_ = longest_ = kAgentPeriod;
     return;
@@ -46,11 +45,6 @@
   return {wait, wait + kGrace};
 }
 
-void CallPlan::answered(Time now) {
-  fresh_ = now;
-  renews_ = true;
-}
-
 Time CallPlan::failed(Time now) {
   renews_ = false;
   if (options_.pushed) return now + period_;
--- a/src/core/call_plan.hpp
+++ b/src/core/call_plan.hpp
@@ -1,8 +1,7 @@
 // When a router calls discovery. No I/O: the clock and chance are handed in; net/route_table.cpp carries it out.
 //
 // Promise: whatever became of earlier calls, what discovery has and could be asked for is in the list within
-// `told_within`. One deadline says so: `fresh()` + told_within, `fresh()` being the latest moment at which the list
-// was known to be whole. A call that waits for news ends early enough, and a call that does not wait has a limit
+// `told_within`: one deadline, counted from the latest moment at which the list was known to be whole. A call that waits for news ends early enough, and a call that does not wait has a limit
 // short enough, that two more tries fit before the deadline; while discovery cannot be reached the tries come so
 // often that two fit after its return.
 //
@@ -35,7 +34,7 @@
   using Chance = std::function<double()>;  // evenly from [0, 1)
 
   // Times are microseconds on a monotonic clock.
-  CallPlan(const Options& options, Time now, Chance chance);
+  CallPlan(const Options& options, Chance chance);
 
   // Until when the first call has to wait, so that routers that start together do not call together.
   Time first(Time now) const { return now + static_cast<Time>(chance_() * static_cast<double>(spread_)); }
@@ -47,17 +46,13 @@
   };
   Call begin(Time now);
   // Its answer came whole: the list is of now. The next call follows at once.
-  void answered(Time now);
+  void answered() { renews_ = true; }
   // It did not, for whatever reason. Returns when the next call begins.
   Time failed(Time now);
 
   // Discovery has moved: whatever call is out is over.
-  void turned(Time now) { fresh_ = now, renews_ = false; }
+  void turned() { renews_ = false; }
 
-  // The list was known to be whole then; what came to be earlier than told_within ago must be in it from the next
-  // answer on. Before the first answer: the start.
-  Time fresh() const { return fresh_; }
-  Time deadline() const { return fresh_ + options_.told_within; }
   // Two tries fit into told_within at the pace of this group.
   bool in_time() const;
 
@@ -67,7 +62,7 @@
   Time spread_ = 0;   // in which all routers may call once
   Time period_ = 0;   // from the beginning of a call that fails to that of the next
   Time longest_ = 0;  // the same, when calls fail for waiting too long
-  Time fresh_ = 0, begun_ = 0;
+  Time begun_ = 0;
   bool waits_ = false;   // the latest call, for news
   bool renews_ = false;  // the latest call was answered: the next one renews its watch
 };
--- a/src/net/route_table.cpp
+++ b/src/net/route_table.cpp
@@ -29,7 +29,7 @@
 RouteTable::RouteTable(Options options, Heard heard)
     : options_(std::move(options)),
       heard_(std::move(heard)),
-      plan_(options_.calls, now_us(),
+      plan_(options_.calls,
             [dice = boost::random::mt19937_64(options_.seed)]() mutable { return boost::random::uniform_01<double>()(dice); }),
       address_(parse_address(options_.address)) {
   if (!address_) throw NetError("discovery: not an address: " + options_.address);
@@ -75,7 +75,7 @@
   limit_.stop();
   drop_stream();
   has_rev_ = false;
-  plan_.turned(now_us());
+  plan_.turned();
   ask(true);
 }
 
@@ -147,7 +147,7 @@
   if (too_old(list)) return failed("an older version than the one in use");
   asking_ = false;
   const std::uint64_t before = rev_;
-  plan_.answered(now_us());
+  plan_.answered();
   take_list(list, false);
   // Guards against a discovery that gives no version to wait behind, and one that does not wait: the loop would spin.
   if (!has_rev_) return call_at(plan_.failed(now_us()));
--- a/src/net/route_table.hpp
+++ b/src/net/route_table.hpp
@@ -63,8 +63,6 @@
   std::size_t size() const { return routes_.size(); }
   std::size_t listed() const;  // without those that are gone
   const DirectoryCounters& counters() const { return counters_; }
-  // The list was known to be whole then (now_us()); 0: never yet.
-  Time fresh() const { return has_rev_ ? plan_.fresh() : 0; }
 
  private:
   void call();
--- a/tests/core/call_plan.cpp
+++ b/tests/core/call_plan.cpp
@@ -37,7 +37,7 @@
 
   World(std::uint32_t count, double bears, std::uint64_t seed) : cost(static_cast<Time>(1e6 / bears)), dice(seed), routers(count) {
     for (auto& r : routers) {
-      r.plan = std::make_unique<CallPlan>(CallPlan::Options{.routers = count}, 0,
+      r.plan = std::make_unique<CallPlan>(CallPlan::Options{.routers = count},
                                           [this] { return boost::random::uniform_01<double>()(dice); });
       r.next = r.plan->first(0);
     }
@@ -51,7 +51,7 @@
   }
   void answer(Router& r) {
     r.learned = now;
-    r.plan->answered(now);
+    r.plan->answered();
     const auto call = r.plan->begin(now);  // at once: a renewal
     r.out = r.waiting = r.watched = true;
     r.renewal = now + call.wait;
@@ -185,7 +185,7 @@
 }
 
 TEST_CASE("an agent is asked again soon, whatever became of a call") {
-  CallPlan plan({.routers = 300, .pushed = true}, 0, [] { return 0.5; });
+  CallPlan plan({.routers = 300, .pushed = true}, [] { return 0.5; });
   CHECK(plan.first(0) == 0);
   CHECK(plan.begin(0).limit < 2 * kSecond);
   CHECK(plan.failed(kSecond) <= kSecond + kSecond / 10);
