Take nothing after SIGTERM that SIGKILL could cut off, and end idle newcomers

Lines: Lifecycle::takes (always true while winding down) and closes_fresh (never).

From 0.65 s after SIGTERM a request is refused at once, and a connection without one is closed.

--- a/src/life/lifecycle.cpp
+++ b/src/life/lifecycle.cpp
@@ -7,6 +7,9 @@
 // New connections go on coming 0.2 s after a drain's no and 0.4 s after SIGTERM; clients use those they have, and
 // each answer closes one. What is left is closed from here on.
 constexpr Time kNewComers = 500'000;
+// After SIGTERM a request that came by 0.7 s may be cut off by SIGKILL; a later one is lost then, however long its answer.
+// So none is taken from here on, and a connection that has not brought its first one by then is closed.
+constexpr Time kLastTaken = 650'000;
 // 4 s after the call nothing that came in the last 2 s may be held: what still comes has to be over by then.
 constexpr Time kDrainTakes = 1'500'000;
 
@@ -49,15 +52,18 @@
   return handed_ || able(now);
 }
 
-bool Lifecycle::takes(Time now) const { return !since(left_, now, kDrainTakes) || handed_ || ending_; }
+bool Lifecycle::takes(Time now) const {
+  if (since(ending_, now, kLastTaken)) return false;
+  return !since(left_, now, kDrainTakes) || handed_ || ending_;
+}
 
 bool Lifecycle::closes_idle(Time now) const {
   return since(left_, now, kNewComers) || since(ending_, now, kNewComers) || since(handed_, now, kNewComers);
 }
 
-// While winding down a connection that was just opened may still bring a request.
+// While winding down a connection that was just opened may still bring a request, as long as one is taken.
 bool Lifecycle::closes_fresh(Time now) const {
-  return since(left_, now, kNewComers) || since(handed_, now, kNewComers);
+  return since(left_, now, kNewComers) || since(ending_, now, kLastTaken) || since(handed_, now, kNewComers);
 }
 
 const char* name_of(Phase phase) {
--- a/tests/life/lifecycle.cpp
+++ b/tests/life/lifecycle.cpp
@@ -45,6 +45,18 @@
   CHECK(life.phase() == Phase::drained);
 }
 
+// What comes later than 0.7 s after SIGTERM and is unanswered at SIGKILL is lost.
+TEST_CASE("after SIGTERM new connections have their time, and then nothing is taken that could be cut off") {
+  Lifecycle life(0);
+  life.listed();
+  life.terminate(1'000'000);
+  CHECK((life.takes(1'400'000) && life.accepts() && !life.closes_fresh(1'400'000)));
+  life.terminate(1'600'000);  // again: the first one counts
+  CHECK((!life.takes(1'700'000) && life.closes_fresh(1'700'000) && life.closes_idle(1'700'000)));
+  life.hand_over(1'700'000);
+  CHECK_FALSE(life.takes(1'800'000));
+}
+
 TEST_CASE("whatever came before, 4 s after LEAVE nothing that came in the last 2 s can be held, and SIGTERM is final") {
   REQUIRE(rc::check("any order of calls", [] {
     Lifecycle life(0);
@@ -64,6 +76,7 @@
       if (left >= 0) RC_ASSERT(!life.ready(now));
       if (left >= 0 && !handed && !ending && life.phase() == Phase::drained) RC_ASSERT(!life.takes(left + 2'000'000));
       if (left >= 0) RC_ASSERT(life.closes_idle(left + 2'000'000) && life.closes_fresh(left + 2'000'000));
+      if (ending) RC_ASSERT(!life.takes(now + 700'000) && life.closes_fresh(now + 700'000));
       if (ending) RC_ASSERT(!life.keeps() && !life.able(now) && !life.leave(now) && !life.join());
       if (!ending && left < 0 && life.phase() == Phase::serving) RC_ASSERT(life.ready(now) && life.keeps());
     }
