Count what was never written whole as not sent, and begin no attempt when its time is over

And Servers::Line::write sends a request on a connection that comes up in the very round in which the alarm of its attempt rings (the loop's sockets are dispatched before its timers), with X-Timeout-Ms: 1. Ruled out: connections that break before the last byte, which already count as not made.

Egress::abandon says whether the request was written whole; if not, its outcome is `not_sent`, and an exchange none of whose attempts may have run is refused at its end. A connection that comes up too late carries nothing and rests in the pool.

--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -121,10 +121,11 @@
   pump();
 }
 
-void Exchanges::report(HopId hop, const Exchange& x, Outcome outcome, bool concluded,
+void Exchanges::report(HopId hop, Exchange& x, Outcome outcome, bool concluded,
                        std::span<const float> load) {
   const Time now = around_.clock.now();
   ++counters_.outcomes[outcome];
+  x.may_have_run |= !never_ran(outcome);
   decider_->on_attempt_result(now, {.id = hop.exchange,
                                   .attempt = hop.number,
                                   .replica = x.target,
@@ -139,11 +140,13 @@
                                   .report = load});
 }
 
-// The connection is closed before the module hears of it: no two hops of an exchange are out at once.
+// The connection is closed before the module hears of it: no two hops of an exchange are out at once. Guards a class
+// that must not run twice against a promise that is not given: what was never written whole, as on a connection that
+// did not come up in time, has not run.
 void Exchanges::drop_hop(Exchange& x, Outcome outcome, bool concluded) {
-  around_.egress.abandon(x.hop);
+  const bool sent = around_.egress.abandon(x.hop);
   x.hop_out = false;
-  report(x.hop, x, outcome, concluded, {});
+  report(x.hop, x, sent ? outcome : Outcome::not_sent, concluded, {});
 }
 
 void Exchanges::probed(ReplicaId target, bool alive, std::span<const float> load) {
@@ -202,8 +205,13 @@
       if (x.hop_out) {
         drop_hop(x, Outcome::timed_out, true);
       }
-      conclude(alarm.hop.exchange, Ending::timed_out,
-               [this](Reply& r) { r.fail(Failure::timed_out, come_back_); });
+      // What was never sent on is not answered as failed: its client may repeat it.
+      if (!x.may_have_run) {
+        conclude(alarm.hop.exchange, Ending::shed, [this](Reply& r) { r.shed(come_back_); });
+      } else {
+        conclude(alarm.hop.exchange, Ending::timed_out,
+                 [this](Reply& r) { r.fail(Failure::timed_out, come_back_); });
+      }
       break;
     }
   }
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -41,7 +41,8 @@
   // `model`: what the target is to serve, by its number in the catalogue; 0: what the payload asks for.
   virtual void launch(HopId hop, ReplicaId target, std::shared_ptr<const Payload> payload, Time until,
                       std::uint16_t model) = 0;
-  virtual void abandon(HopId hop) = 0;        // its connection is closed or half-closed on return
+  // Its connection is closed or half-closed on return. False: the request was not written whole, so it cannot have run.
+  virtual bool abandon(HopId hop) = 0;
   virtual void hold(HopId hop, bool on) = 0;  // stop reading its answer for a while
   virtual void probe(ReplicaId target) = 0;
 };
@@ -130,6 +131,7 @@
     std::uint8_t sends = 0;  // as the module counts them; one that was never launched has its number too
     HopId hop;               // the latest that was launched
     bool hop_out = false, started = false, whole = false, failed = false;
+    bool may_have_run = false;  // some attempt of it
     ReplicaId target = 0;
     Time hop_sent = 0, hop_until = 0;
     std::uint16_t model = 0;  // of the latest hop
@@ -145,7 +147,7 @@
   void act(const Action& action);
   void send(const Action& action);
   void conclude(RequestId id, Ending ending, const std::function<void(Reply&)>& answer);
-  void report(HopId hop, const Exchange& exchange, Outcome outcome, bool concluded,
+  void report(HopId hop, Exchange& exchange, Outcome outcome, bool concluded,
               std::span<const float> load);
   void drop_hop(Exchange& exchange, Outcome outcome, bool concluded);
   Alarms::iterator set_alarm(Time when, Alarm alarm);
--- a/src/emulator/day.hpp
+++ b/src/emulator/day.hpp
@@ -136,7 +136,7 @@
   void wake_at(Time when) override;
   void launch(core::HopId hop, ReplicaId target, std::shared_ptr<const core::Payload> payload, Time until,
               std::uint16_t model) override;
-  void abandon(core::HopId hop) override;
+  bool abandon(core::HopId hop) override;
   void hold(core::HopId, bool) override {}
   void probe(ReplicaId target) override;
   void watch() override;
--- a/src/emulator/routers.cpp
+++ b/src/emulator/routers.cpp
@@ -118,13 +118,14 @@
 }
 
 // The connection closes; what the box has begun it ends for nobody.
-void EmulatedRouter::abandon(core::HopId id) {
+bool EmulatedRouter::abandon(core::HopId id) {
   const auto found = hops.find(id.exchange);
-  if (found == hops.end()) return;
+  if (found == hops.end()) return false;
   const Name name = found->second;
   hops.erase(found);
   if (Hop* hop = day_.hops.find(name)) day_.close(*this, *hop, false);
   day_.forget_hop(name);
+  return true;
 }
 
 void EmulatedRouter::probe(ReplicaId target) {
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -71,6 +71,7 @@
   ReplicaId target() const { return target_; }
   const std::string& endpoint() const { return endpoint_; }
   Time idle_since() const { return idle_since_; }
+  bool sent() const { return sent_; }  // the whole request is with the kernel
 
   // Guards the next hop against an answer that is none of its own: what a target sends unasked, behind an
   // answer or instead of its end, makes a connection useless.
@@ -132,6 +133,9 @@
       return stream_.write("GET /stats HTTP/1.1\r\nHost: backend.local\r\n\r\n");
     }
     if (!owner_.core_->still_wanted(hop_)) return;
+    // Guards against an attempt that begins when its time is over: its connection came up in the very round in which
+    // the alarm rings. The connection is good.
+    if (now_us() >= until_) return finish(Outcome::not_sent, true);
     // Guards rule 3: the list may have changed while the connection came up.
     if (!owner_.routes_.may_send(target_)) {
       ++owner_.counters_.drained_meanwhile;
@@ -388,12 +392,14 @@
   line->carry(hop, std::move(payload), until, model);
 }
 
-void Servers::abandon(core::HopId hop) {
+bool Servers::abandon(core::HopId hop) {
   const auto found = hops_.find(hop);
-  if (found == hops_.end()) return;
+  if (found == hops_.end()) return false;
   Line* line = found->second;
   hops_.erase(found);
+  const bool sent = line->sent();
   line->close();
+  return sent;
 }
 
 void Servers::hold(core::HopId hop, bool on) {
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -45,7 +45,7 @@
 
   void launch(core::HopId hop, ReplicaId target, std::shared_ptr<const core::Payload> payload,
               Time until, std::uint16_t model) override;
-  void abandon(core::HopId hop) override;
+  bool abandon(core::HopId hop) override;
   void hold(core::HopId hop, bool on) override;
   void probe(ReplicaId target) override;
 
--- a/tests/models/world.hpp
+++ b/tests/models/world.hpp
@@ -269,7 +269,7 @@
       ends(id, Outcome::served);
     });
   }
-  void abandon(core::HopId id) override { out_.erase(id); }
+  bool abandon(core::HopId id) override { return out_.erase(id) > 0; }
 
  public:
   std::function<double(core::HopId)> prompt_of_;  // prompt tokens of a hop's request
--- a/tests/net/core.cpp
+++ b/tests/net/core.cpp
@@ -24,7 +24,7 @@
     out.push_back(hop);
     ++launched;
   }
-  void abandon(HopId hop) override { std::erase(out, hop); }
+  bool abandon(HopId hop) override { return std::erase(out, hop) > 0 && written; }
   void hold(HopId, bool) override {}
   void probe(ReplicaId) override {}
   void watch() override {}
@@ -56,7 +56,7 @@
 
   static constexpr Time kNever = std::numeric_limits<Time>::max();
   Settings settings;
-  bool there = true;
+  bool there = true, written = true;
   Time time = 1'000'000'000, wake = kNever, come_back = 0;
   std::vector<HopId> out;
   int launched = 0, whole = 0, broken = 0, refused = 0, failed = 0;
@@ -195,6 +195,36 @@
   CHECK(core.alarms() == 0);
 }
 
+// A class that must not run twice: what has not run may be repeated, and its client has to hear so.
+TEST_CASE("what was never written whole has not run, and is refused, not failed") {
+  World world;
+  world.settings.classes[0].effect = Effect::unsafe;
+  Exchanges core(world.settings, {world, world, world, world});
+  SECTION("its connection did not come up in time") {
+    world.list(core, 3);
+    world.written = false;
+    world.ask(core);
+    REQUIRE(world.out.size() == 1);
+    world.advance_to(core, world.time + 5'000'000 + kBackstop);
+    CHECK((world.refused == 1 && world.failed == 0));
+    CHECK(core.counters().outcomes.at(Outcome::not_sent) == 1);
+  }
+  SECTION("it never had an attempt") {
+    world.ask(core);
+    world.advance_to(core, world.time + 5'000'000 + kBackstop);
+    CHECK((world.refused == 1 && world.failed == 0));
+  }
+  SECTION("it was written, and nothing came") {
+    world.list(core, 3);
+    world.ask(core);
+    world.advance_to(core, world.time + 5'000'000 + kBackstop);
+    CHECK((world.refused == 0 && world.failed == 1));
+    CHECK(core.counters().outcomes.at(Outcome::timed_out) == 1);
+  }
+  CHECK(world.answers() == 1);
+  CHECK(world.launched <= 1);
+}
+
 // A client that would wait for an hour once left its alarms behind for as long.
 TEST_CASE("no alarm outlives its exchange") {
   World world;
