--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -217,6 +217,7 @@
   const Demand& d = scenario.classes[t.cls];
   const double part = earned_part(d, t.aim_at, t.deadline, t.first_at, now, t.made);
   ClassResult& c = result.classes[t.cls];
+  t.answered = true;
   ++c.served;
   c.in_time += part == 1;
   c.first_us.add(t.first_at - t.asked_at);
@@ -250,6 +251,9 @@
 }
 
 void Day::end_turn(Turn& t, double part) {
+  auto& fates = result.classes[t.cls].fates;
+  const Time warm = static_cast<Time>(scenario.warm_up_s * 1e6);
+  if (t.asked_at >= warm && fates.size() < ClassResult::kMostFates) fates.push_back({t.prompt, t.key, t.answered});
   book(result, scenario, t.asked_at, t.cls, t.member, t.worth, part);
   turns.drop(t.name);
 }
--- a/src/emulator/day.hpp
+++ b/src/emulator/day.hpp
@@ -87,7 +87,7 @@
   std::uint32_t router = 0;
   RequestId exchange = 0;  // 0: no try is open
   int tries = 0;
-  bool resumed = false;
+  bool resumed = false, answered = false;
 };
 
 struct Hop {
--- a/src/emulator/result.cpp
+++ b/src/emulator/result.cpp
@@ -1,7 +1,9 @@
 #include "emulator/result.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
+#include <unordered_map>
 
 namespace sprucecourse::emulator {
 namespace {
@@ -32,6 +34,37 @@
 
 }  // namespace
 
+double ClassResult::answered_of_longest(double from, double to) const {
+  std::vector<const Fate*> order;
+  for (const auto& fate : fates) order.push_back(&fate);
+  std::sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->prompt > b->prompt; });
+  const auto place = [&](double part) { return static_cast<std::size_t>(part * static_cast<double>(order.size())); };
+  std::size_t answered = 0, all = 0;
+  for (std::size_t at = place(from); at < place(to); ++at, ++all) answered += order[at]->answered;
+  return all == 0 ? 1 : static_cast<double>(answered) / static_cast<double>(all);
+}
+
+double ClassResult::singled_out() const {
+  struct Session {
+    std::size_t turns = 0, refused = 0;
+  };
+  std::unordered_map<std::uint64_t, Session> sessions;
+  std::size_t refused = 0;
+  for (const auto& fate : fates) {
+    Session& s = sessions[fate.session];
+    ++s.turns;
+    s.refused += !fate.answered;
+    refused += !fate.answered;
+  }
+  if (sessions.empty()) return 0;
+  const double chance = static_cast<double>(refused) / static_cast<double>(fates.size());
+  double wholly = 0;
+  for (const auto& [key, s] : sessions) {
+    wholly += static_cast<double>(s.refused == s.turns) - std::pow(chance, static_cast<double>(s.turns));
+  }
+  return wholly / static_cast<double>(sessions.size());
+}
+
 double worst_share(const Result& r, double window_s, double from_s, double to_s) {
   const auto place = [&](double seconds) { return static_cast<std::size_t>(seconds / r.sample_s); };
   const std::size_t width = std::max<std::size_t>(1, place(window_s));
--- a/src/emulator/result.hpp
+++ b/src/emulator/result.hpp
@@ -16,12 +16,29 @@
   double share() const { return asked > 0 ? earned / asked : 1; }
 };
 
+// What became of one request of a session, all its tries together.
+struct Fate {
+  double prompt = 0;  // tokens
+  std::uint64_t session = 0;
+  bool answered = false;  // whole, in time or late
+};
+
 struct ClassResult {
+  static constexpr std::size_t kMostFates = 200'000;
+
   std::string name;
   Worth worth;
   std::uint64_t turns = 0, served = 0, in_time = 0, given_up = 0;
   Histogram first_us;   // from the first try to the first token
   Histogram answer_us;  // from the first try to the end
+  std::vector<Fate> fates;  // of the first kMostFates
+
+  // Of its requests in the order of their prompts, the longest first: the share that was answered of those from one part
+  // of all to another (0..1). 1 where there are none.
+  double answered_of_longest(double from, double to) const;
+  // The part of its sessions whose turns were all refused, beyond what chance gives where each turn is refused with the
+  // same probability.
+  double singled_out() const;
 };
 
 // What all routers together counted, and how it adds up.
--- a/tests/emulator/days.cpp
+++ b/tests/emulator/days.cpp
@@ -82,6 +82,32 @@
   }
 }
 
+// The operators' floors: the longest prompts of a class, and its sessions, bear no more of the refusals than the others.
+// A half of their class's share on a day with refusals, two thirds on a calm one.
+TEST_CASE("refusals single out neither long prompts nor sessions") {
+  for (const double load : {0.4, 2.0}) {
+    for (const std::uint64_t seed : {3u, 4u}) {
+      Scenario s = small();
+      s.load = {load, load};
+      s.seconds = 40;
+      const Result r = play_day(s, seed);
+      std::uint64_t refused = 0;
+      for (const auto& c : r.classes) {
+        const double all = c.answered_of_longest(0, 1), floor = load < 1 ? 2.0 / 3 : 0.5;
+        INFO("load " << load << " seed " << seed << " " << c.name << ": " << c.fates.size() << " requests, answered " << all
+                     << ", of the longest " << c.answered_of_longest(0, 0.1) << ", of the next "
+                     << c.answered_of_longest(0.1, 0.3) << ", sessions singled out " << c.singled_out());
+        REQUIRE(c.fates.size() > 100);
+        CHECK(c.answered_of_longest(0, 0.1) >= floor * all);
+        CHECK(c.answered_of_longest(0.1, 0.3) >= floor * all);
+        CHECK(c.singled_out() <= 0.12);
+        refused += c.given_up;
+      }
+      if (load > 1) CHECK(refused > 300);  // else it shows nothing
+    }
+  }
+}
+
 TEST_CASE("fair shares before the module keep every rule, and every sum, on a rough day") {
   for (const std::uint64_t seed : {3u, 4u}) {
     Scenario s = rough();
