--- /dev/null
+++ b/tests/net/outage.cpp
@@ -0,0 +1,197 @@
+// The program as processes while discovery is down: idle clients that fill the descriptors, and starts.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <fstream>
+#include <memory>
+#include <vector>
+
+#include "program.hpp"
+
+using sprucecourse::testing::Program;
+
+namespace {
+
+constexpr int kPatienceMs = 20'000;  // far above any wait here: only a hang reaches it
+
+class Socket {
+ public:
+  explicit Socket(int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) : fd_(fd) {}
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  ~Socket() {
+    if (fd_ >= 0) close(fd_);
+  }
+  int fd() const { return fd_; }
+
+  // At a port of the system's choice; nobody is let in before listen().
+  std::string bind_any() {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    socklen_t size = sizeof at;
+    REQUIRE(getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+  }
+  void let_in() { REQUIRE(listen(fd_, 64) == 0); }
+  Socket accept_one() {
+    REQUIRE(ready());
+    return Socket(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+  }
+  bool connect_to(const std::string& address) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+    return connect(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+  }
+  void send_all(const std::string& bytes) {
+    REQUIRE(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  // What comes until this text is in it, or the other side ends.
+  std::string read_until(const std::string& text) {
+    std::string got;
+    std::array<char, 4096> bytes;
+    while (got.find(text) == std::string::npos && ready()) {
+      const ssize_t count = recv(fd_, bytes.data(), bytes.size(), 0);
+      if (count <= 0) break;
+      got.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+    return got;
+  }
+
+ private:
+  bool ready() const {
+    pollfd asked{fd_, POLLIN, 0};
+    return poll(&asked, 1, kPatienceMs) == 1;
+  }
+  int fd_;
+};
+
+std::string entry(const std::string& uid, const std::string& address, const std::string& state) {
+  return R"({"uid":")" + uid + R"(","endpoint":")" + address + R"(","az":"a","model":"m","pod_group":1,"state":")" + state +
+         R"(","capacity_hint":1.0,"boot_ms":0})";
+}
+
+std::string request(const std::string& id) {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Request-ID: " + id +
+         "\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 15000\r\nX-Attrs: prompt_len=4,max_out=4\r\n"
+         "Content-Length: 2\r\n\r\n{}";
+}
+
+const std::string kAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+
+// More connections than the router may hold, all of which say nothing. They go when their client likes.
+std::vector<Socket> crowd(const std::string& address, int count) {
+  std::vector<Socket> all;
+  for (int i = 0; i < count; ++i) {
+    Socket one(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    REQUIRE(one.fd() >= 0);
+    one.connect_to(address);
+    all.push_back(std::move(one));
+  }
+  return all;
+}
+
+// A request through the crowd, to the replica that listens here.
+void served(const std::string& address, Socket& replica, const std::string& id) {
+  Socket client;
+  REQUIRE(client.connect_to(address));
+  client.send_all(request(id));
+  Socket attempt = replica.accept_one();
+  CHECK(attempt.read_until("\r\n\r\n{}").find("X-Request-ID: " + id) != std::string::npos);
+  attempt.send_all(kAnswer);
+  CHECK(client.read_until("0\r\n\r\n").find("[DONE]") != std::string::npos);
+}
+
+// Returns the file's path.
+std::string write_config(const std::string& name, const std::string& listen, const std::string& discovery,
+                         const std::string& replica, int sockets) {
+  const std::string path = "thornwick-outage-" + std::to_string(getpid()) + "-" + name + ".json";
+  std::ofstream(path) << R"({"name":")" << name << R"(","listen":")" << listen << R"(","discovery":")" << discovery
+                      << R"(","seed":"ff","limits":{"cores":1,"memory_mb":96,"sockets":)" << sockets
+                      << R"(},"known":{"rev":1,"all":true,"targets":[)" << entry("s-01", replica, "SERVING")
+                      << R"(]},"settings":{"registryMode":"ask","grades":[{"name":"chat","objective":4000000,"deadline":20000000,"streamed":true}],)"
+                      << R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5}}})";
+  return path;
+}
+
+std::string address_of(Program& program) {
+  std::string said = program.says(" serves on ");
+  REQUIRE(said.find("127.0.0.1:") != std::string::npos);
+  said = said.substr(said.find("127.0.0.1:"));
+  return said.substr(0, said.find(','));
+}
+
+bool ready(const std::string& address) {
+  Socket front;
+  if (!front.connect_to(address)) return false;
+  front.send_all("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+  return front.read_until("\r\n\r\n").starts_with("HTTP/1.1 200 ");
+}
+
+}  // namespace
+
+TEST_CASE("idle clients that fill the descriptors keep neither replicas nor discovery out when it returns") {
+  const int limit = GENERATE(256, 1024);
+  rlimit files{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &files) == 0);
+  files.rlim_cur = std::min<rlim_t>(files.rlim_max, 8192);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &files) == 0);
+  Socket first, second, discovery;
+  const std::string first_at = first.bind_any(), second_at = second.bind_any(), discovery_at = discovery.bind_any();
+  first.let_in();
+  second.let_in();
+  const std::string path = write_config("n1", "127.0.0.1:0", discovery_at, first_at, limit);
+  {
+    Program program(path);
+    const std::string address = address_of(program);
+    auto idle = crowd(address, limit + 60);
+    served(address, first, "r1");
+    // Discovery is back: the router has a descriptor for it, and what it tells holds at once.
+    auto more = crowd(address, limit);
+    discovery.let_in();
+    Socket call = discovery.accept_one();
+    CHECK(call.read_until("\r\n\r\n").find("GET /registry/instances?after=1&wait_ms=0 ") != std::string::npos);
+    const std::string list =
+        R"({"rev":2,"all":true,"targets":[)" + entry("s-01", first_at, "DRAINING") + "," + entry("s-02", second_at, "SERVING") + "]}";
+    call.send_all("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    CHECK(call.read_until("\r\n\r\n").find("GET /registry/instances?after=2&wait_ms=2500 ") != std::string::npos);
+    served(address, second, "r2");
+    more.clear();
+    idle.clear();
+    program.signal(SIGTERM);
+    CHECK(program.status() == 0);
+  }
+  std::remove(path.c_str());
+}
+
+// The number is by hand (docs/standing.md): 210 of them.
+TEST_CASE("processes that start together in an outage are ready with the configuration's list, and serve") {
+  constexpr int kCount = 8;
+  Socket replica, discovery;
+  const std::string replica_at = replica.bind_any(), discovery_at = discovery.bind_any();
+  replica.let_in();
+  std::vector<std::string> paths, addresses(kCount, "127.0.0.1:0");
+  for (const char* life : {"first", "killed at once and started again"}) {
+    INFO(life);
+    std::vector<std::unique_ptr<Program>> all;
+    for (int i = 0; i < kCount; ++i) {
+      const auto at = static_cast<std::size_t>(i);
+      paths.push_back(write_config("n" + std::to_string(i), addresses[at], discovery_at, replica_at, 256));
+      all.push_back(std::make_unique<Program>(paths.back()));
+    }
+    for (int i = 0; i < kCount; ++i) {
+      const auto at = static_cast<std::size_t>(i);
+      addresses[at] = address_of(*all[at]);
+      CHECK(ready(addresses[at]));
+      served(addresses[at], replica, "r" + std::to_string(i));
+    }
+  }  // the end of a Program is SIGKILL
+  for (const auto& path : paths) std::remove(path.c_str());
+}
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -1,7 +1,10 @@
 #include "play.hpp"
 
+#include <sys/socket.h>
+
 #include <catch2/catch.hpp>
 #include <sstream>
+#include <thread>
 
 #include "../store/scratch.hpp"
 #include "wire.hpp"
@@ -101,6 +104,7 @@
 
 struct Play::Line {
   std::unique_ptr<net::Stream> stream;
+  GSocket* socket = nullptr;  // the stream's
   std::string got;
   std::size_t read = 0;
   bool ended = false;
@@ -201,6 +205,7 @@
             if (each.get() == raw) return box_arrived(each);
           }
         }));
+        line->socket = socket.get();
         line->stream->adopt(std::move(socket));
       });
 }
@@ -228,7 +233,11 @@
     auto made = std::make_shared<Line>();
     made->stream = std::make_unique<net::Stream>(made->callbacks());
     const std::string to = call ? node_->door()->address() : node_->front(writer ? 1 : 0).address();
-    REQUIRE(made->stream->connect(net::parse_address(to).get()));
+    // Made here and now: the router's kernel has it when this returns.
+    net::Owned<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
+    REQUIRE(g_socket_connect(socket.get(), net::parse_address(to).get(), nullptr, nullptr));
+    made->socket = socket.get();
+    made->stream->adopt(std::move(socket));
     actors_[actor] = made;
   }
   INFO("waiting for " << actor);
@@ -242,6 +251,7 @@
   return " " + text.str() + " ";
 }
 
+std::size_t Play::unsent(const std::string& actor) { return line(actor).stream->unsent(); }
 std::string Play::received(const std::string& actor) { return line(actor).got; }
 void Play::send(const std::string& actor, const std::string& bytes) {
   line(actor);  // nothing to send: it connects all the same
@@ -278,6 +288,13 @@
   at.read = found + text.size();
 }
 
+// Closes so that the other side's reading ends in an error.
+void Play::reset(Line& line) {
+  const linger at_once{1, 0};
+  REQUIRE(setsockopt(g_socket_get_fd(line.socket), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once) == 0);
+  line.stream->close();
+}
+
 void Play::step(const std::string& text) {
   INFO("step: " << text);
   std::istringstream words(text);
@@ -289,6 +306,14 @@
     net::Timer timer;
     timer.start(std::stol(verb) * 1000, [&] { over = true; });
     wait_for([&] { return over; });
+  } else if (actor == "stall") {
+    std::this_thread::sleep_for(std::chrono::milliseconds(std::stol(verb)));
+  } else if (verb == "end") {
+    line(actor).stream->finish_sending();
+  } else if (verb == "hold" || verb == "read") {
+    line(actor).stream->hold(verb == "hold");
+  } else if (verb == "reset") {
+    reset(line(actor));
   } else if (verb == "send") {
     send(actor, read_text(rest));
   } else if (verb == "expect") {
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -1,6 +1,11 @@
 // A small language for scenarios on sockets. One line, one step:
 //
 //   ACTOR send TEXT      ACTOR expect TEXT      ACTOR expect close      ACTOR close      wait MS
+//   ACTOR end (half-closes)      ACTOR reset      ACTOR hold, ACTOR read (stops reading, goes on)      stall MS (the loop stands still: what comes due and what is sent
+//   meanwhile meets in one round of it)
+//
+// What is sent is with the kernel at once, and the loop runs only in `expect`, in `wait` and while an actor has yet to
+// come: steps between two of these meet in one round, in their order.
 //
 // Actors: clientN (the platform's front), writerN (the messages front), callN (the operators' door), hopN (the N-th request that reached
 // any stand-in box), list (discovery's stand-in: `send` answers the call that waits), newlist (another one,
@@ -45,6 +50,7 @@
   std::string received(const std::string& actor);
   void send(const std::string& actor, const std::string& bytes);
   void expect(const std::string& actor, const std::string& text);
+  std::size_t unsent(const std::string& actor);  // bytes that the router's side does not take
   // A new operator's file, as by SIGHUP.
   void reload(const std::string& operator_text);
   std::string box(int index) const { return boxes_.at(static_cast<std::size_t>(index))->address(); }
@@ -57,6 +63,7 @@
   void read_operator_text(const std::string& text);
   void box_arrived(std::shared_ptr<Line> line);
   void step(const std::string& text);
+  static void reset(Line& line);
   bool wait_for(const std::function<bool()>& done);
   std::string counters() const;
 
