Feel a jam since the latest attempt, and do not tell silence as one

Lines at fault, both in Router::State::feel: lateness was measured since the arrival, so that a request that had lost its time on connections that never came up counted as a late answer of the replica that answered at last; and a request that nobody had answered by its aim, as at a zone that is cut off, was told to all routers as a late answer.

Lateness is measured since the latest attempt; one that has no answer and is younger than the aim says nothing; silence is told as slow, not as late, where late answers are awaited at all. Time lost on attempts still counts for the client, not for shedding.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -155,8 +155,10 @@
 
   // What an answer, early or late, tells of the zone and of the load.
   void feel(Time now, const Pending& p) {
-    const double part =
-        static_cast<double>(now - p.arrived) / static_cast<double>(std::max<Time>(1, aim_of(p.request)));
+    // Since the latest attempt began: what others lost before it is neither its replica's doing nor a jam.
+    const auto took = static_cast<double>(now - (p.attempts.empty() ? p.arrived : p.attempts.back().sent));
+    const double part = took / static_cast<double>(std::max<Time>(1, aim_of(p.request)));
+    if (!p.started && part < 1) return;  // nothing is known of it yet
     const bool late = part >= 1, slow = part > kSlowPart;
     // Guards against refusing long after a jam: the longer all is in time, the faster shedding falls.
     in_time_run_ = late ? 0 : in_time_run_ + 1;
@@ -165,16 +167,17 @@
     shed_ = std::clamp(shed_ + (late ? jam() : -fall / (1 - shed_)), 0.0, kMaxShed);
     if (p.attempts.empty()) return;
     Replica& r = replicas_.at(p.attempts.back().replica);
-    if (slow) tell(now, r, late ? Seen::late : Seen::slow);
+    // Silence is no jam, but where nothing is awaited past the aim nobody can tell the two apart.
+    const bool jammed = late && (p.started || settings_.classes[p.request.cls].late_worth <= 0);
+    if (slow) tell(now, r, jammed ? Seen::late : Seen::slow);
     const bool own = r.listing.zone == settings_.zone;
     // Guards against kinds that are slower than listed, or slowed together: their intervals narrow.
     double& pace = pace_.try_emplace(r.listing.kind, 1.0).first->second;
     if (!thin()) pace = std::clamp(pace * (slow ? 1 - kPaceDown : 1 + kPaceUp), kMinPace, 1.0);
     // ... and against single ones that slow down: a box that ages is slow long before it falls.
     r.pace = std::clamp(r.pace * (slow ? 1 - kSinglePaceDown : 1 + kSinglePaceUp), kMinPace, 1.0);
-    if (own) spill_ += slow ? kSpillUp : -kSpillDown;
-    if (!own && slow) spill_ -= 2 * kSpillUp;
-    spill_ = std::clamp(spill_, 0.0, kMaxSpill);
+    const double moved = own ? (slow ? kSpillUp : -kSpillDown) : slow ? -2 * kSpillUp : 0;
+    spill_ = std::clamp(spill_ + moved, 0.0, kMaxSpill);
   }
 
   // In a large group each sees too few answers, so all tell of bad ones: the more pay for a note, the fewer.
@@ -552,10 +555,9 @@
   // How long the client should stay away: the more is shed, the longer, and not all for the same time.
   Time come_back() {
     if (!settings_.retry_after) return 0;
-    const double part = std::max(kShortAbsence, shed_);
-    return std::clamp<Time>(
-        jittered(static_cast<Time>(part * static_cast<double>(settings_.max_retry_after))), 1,
-        std::max<Time>(1, settings_.max_retry_after));
+    const Time most = std::max<Time>(1, settings_.max_retry_after);
+    const double part = std::max(kShortAbsence, shed_) * static_cast<double>(most);
+    return std::clamp<Time>(jittered(static_cast<Time>(part)), 1, most);
   }
 
   // Guards rule 2: a refusal assures the client that a repeat does no harm.
@@ -648,10 +650,6 @@
         std::min(alone * crowd, kLongestAsk * static_cast<double>(settings_.ask_within)));
   }
 
-  void ask() {
-    if (!subscribed_) actions_.push_back({.kind = ActionKind::watch_directory});
-  }
-
   // ---------------------------------------------------------------- timers and chance
   void set_timer(Time when, std::uint32_t token) {
     actions_.push_back({.kind = ActionKind::set_timer, .time = when, .token = token});
@@ -664,7 +662,7 @@
   }
 
   void timer(Time now, std::uint32_t token) {
-    if (token == kDirectoryTimer) return ask();
+    if (token == kDirectoryTimer && !subscribed_) actions_.push_back({.kind = ActionKind::watch_directory});
     if (token == kNotesTimer)
       actions_.push_back({.kind = ActionKind::tell_peer, .token = Notes::kAll, .message = notes_.message()});
     const auto review_of = reviews_.find(token);
