Refuse by chance, not by the session's name, where all replicas at home are cold

Seen on reading the refusals against the term that no session is refused throughout while there is room: Router::State::choose_cut throws one coin for a session, its hash, both for where it goes and for whether it is refused when all replicas are cold. Of 50 sessions with 20 turns each, 3 s after the start of both replicas, 40 were refused in all of their turns although half of all turns had room. Ruled out: shedding (by worth and a fresh draw) and the cold budget (by time).

Where nobody at home is warm the coin is thrown anew for each request: 0 to 2 of 50. The test fails without the change.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -314,7 +314,8 @@
 
   // The replicas at home, as far as their shares go; beyond that the others; else nobody (all are cold).
   const Cut* choose_cut(const Pending& p) {
-    const double coin = p.request.session != 0 ? unit(mix(p.request.session)) : draw();
+    // Guards against refusing the same sessions throughout: where all at home are cold the coin refuses.
+    const double coin = p.request.session != 0 && own_.any_warm ? unit(mix(p.request.session)) : draw();
     if (!own_.members.empty() && coin < std::min(own_.fill, 1 - spill_)) return &own_;
     if (!away_.members.empty() && (away_.any_warm || coin < away_.fill)) return &away_;
     const bool only_home = !own_.members.empty() && away_.members.empty() && coin < own_.fill;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -406,6 +406,25 @@
   EXPECT_LT(sent, 50);
 }
 
+// The longest that a session may be singled out is by chance: once the same hash refused it until the first was warm.
+TEST(RuleColdReplicas, WhenAllAreColdNoSessionIsRefusedThroughout) {
+  Fixture f;
+  f.list({{.id = 10, .started = f.now - 3 * kSecond}, {.id = 20, .started = f.now - 3 * kSecond}});
+  int throughout = 0, sent = 0;
+  for (std::uint64_t session = 1; session <= 50; ++session) {
+    int served = 0;
+    for (int turn = 0; turn < 20; ++turn) {
+      const auto to = sent_to(f.arrive({.prompt_tokens = 100, .session = session}));
+      served += to != 0;
+      if (to != 0) f.serve(f.last.id, to);
+    }
+    throughout += served == 0;
+    sent += served;
+  }
+  EXPECT_LT(sent, 700);  // most of a crowd is refused: else it shows nothing
+  EXPECT_LE(throughout, 2);
+}
+
 TEST(RuleColdReplicas, AStepOrASecondAttemptNeverGoesToAColdOne) {
   Fixture f;
   f.list({{.id = 10}, {.id = 20, .started = f.now - 1}});
