--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -155,10 +155,8 @@
 
   // What an answer, early or late, tells of the zone and of the load.
   void feel(Time now, const Pending& p) {
-    // Since the latest attempt began: what others lost before it is neither its replica's doing nor a jam.
-    const auto took = static_cast<double>(now - (p.attempts.empty() ? p.arrived : p.attempts.back().sent));
-    const double part = took / static_cast<double>(std::max<Time>(1, aim_of(p.request)));
-    if (!p.started && part < 1) return;  // nothing is known of it yet
+    const double part =
+        static_cast<double>(now - p.arrived) / static_cast<double>(std::max<Time>(1, aim_of(p.request)));
     const bool late = part >= 1, slow = part > kSlowPart;
     // Guards against refusing long after a jam: the longer all is in time, the faster shedding falls.
     in_time_run_ = late ? 0 : in_time_run_ + 1;
@@ -167,17 +165,16 @@
     shed_ = std::clamp(shed_ + (late ? jam() : -fall / (1 - shed_)), 0.0, kMaxShed);
     if (p.attempts.empty()) return;
     Replica& r = replicas_.at(p.attempts.back().replica);
-    // Silence is no jam, but where nothing is awaited past the aim nobody can tell the two apart.
-    const bool jammed = late && (p.started || settings_.classes[p.request.cls].late_worth <= 0);
-    if (slow) tell(now, r, jammed ? Seen::late : Seen::slow);
+    if (slow) tell(now, r, late ? Seen::late : Seen::slow);
     const bool own = r.listing.zone == settings_.zone;
     // Guards against kinds that are slower than listed, or slowed together: their intervals narrow.
     double& pace = pace_.try_emplace(r.listing.kind, 1.0).first->second;
     if (!thin()) pace = std::clamp(pace * (slow ? 1 - kPaceDown : 1 + kPaceUp), kMinPace, 1.0);
     // ... and against single ones that slow down: a box that ages is slow long before it falls.
     r.pace = std::clamp(r.pace * (slow ? 1 - kSinglePaceDown : 1 + kSinglePaceUp), kMinPace, 1.0);
-    const double moved = own ? (slow ? kSpillUp : -kSpillDown) : slow ? -2 * kSpillUp : 0;
-    spill_ = std::clamp(spill_ + moved, 0.0, kMaxSpill);
+    if (own) spill_ += slow ? kSpillUp : -kSpillDown;
+    if (!own && slow) spill_ -= 2 * kSpillUp;
+    spill_ = std::clamp(spill_, 0.0, kMaxSpill);
   }
 
   // In a large group each sees too few answers, so all tell of bad ones: the more pay for a note, the fewer.
@@ -556,9 +553,10 @@
   // How long the client should stay away: the more is shed, the longer, and not all for the same time.
   Time come_back() {
     if (!settings_.retry_after) return 0;
-    const Time most = std::max<Time>(1, settings_.max_retry_after);
-    const double part = std::max(kShortAbsence, shed_) * static_cast<double>(most);
-    return std::clamp<Time>(jittered(static_cast<Time>(part)), 1, most);
+    const double part = std::max(kShortAbsence, shed_);
+    return std::clamp<Time>(
+        jittered(static_cast<Time>(part * static_cast<double>(settings_.max_retry_after))), 1,
+        std::max<Time>(1, settings_.max_retry_after));
   }
 
   // Guards rule 2: a refusal assures the client that a repeat does no harm.
