--- a/include/sprucecourse/rules.hpp
+++ b/include/sprucecourse/rules.hpp
@@ -129,7 +129,7 @@
   Belief belief = {};
   std::uint16_t model = 0;        // its number in the catalogue (src/models/), from 1 on; 0: there is none
   bool no_fallback = false;       // its client takes no other model
-  std::uint8_t hops_before = 0;   // attempts that went to boxes of another pool
+  std::uint8_t attempts_before = 0;   // attempts that went to boxes of another pool
   double worth_part = 1;          // 0..1; of its worth is left, for instance beyond a soft limit
 };
 
--- a/src/budgets/accounts.hpp
+++ b/src/budgets/accounts.hpp
@@ -101,7 +101,7 @@
   Grant reserve(const Who& who, Units amount, Time wall);
   // The end of a reservation: `used` is charged, whatever was reserved.
   void settle(ReservationId id, Units used, Time wall);
-  // A part of what is reserved is charged at once, the rest stays: a hop that ran while another may follow.
+  // A part of what is reserved is charged at once, the rest stays: an attempt that ran while another may follow.
   void charge(ReservationId id, Units used, Time wall);
   Units reserved(ReservationId id) const;
 
--- a/src/budgets/gate.cpp
+++ b/src/budgets/gate.cpp
@@ -106,7 +106,7 @@
   return out;
 }
 
-// A repeat has to be paid for like the first: what an earlier hop was charged is gone from the reservation.
+// A repeat has to be paid for like the first: what an earlier attempt was charged is gone from the reservation.
 void Gate::send(Action action, std::vector<Action>& out) {
   Open& open = open_.at(action.id);
   if (open.spent) {
@@ -151,7 +151,7 @@
 void Gate::settle(Time now, Open& open, const AttemptResult& result) {
   if (never_ran(result.outcome)) return;  // what was reserved for it can pay for the next one
   Charge charge;
-  charge.exchange = result.id, charge.hop = result.attempt, charge.replica = result.replica, charge.who = open.who;
+  charge.exchange = result.id, charge.attempt = result.attempt, charge.replica = result.replica, charge.who = open.who;
   charge.told = result.tally && result.outcome == Outcome::served;
   if (charge.told) {
     charge.prompt = tokens_of(result.prompt_tokens);
@@ -183,7 +183,7 @@
   open_.erase(found);
 }
 
-// A hop that is still out ends right after; it is charged then.
+// An attempt that is still out ends right after; it is charged then.
 void Gate::on_client_gone(Time now, RequestId id) {
   now_ = now;
   const auto found = open_.find(id);
--- a/src/budgets/gate.hpp
+++ b/src/budgets/gate.hpp
@@ -1,11 +1,11 @@
 // Stands between the core and whoever decides: a request that no budget covers is refused before it is decided on, a
-// repeat that none covers is not sent, and every hop is charged once. Decides about money only; the box, the retry and
+// repeat that none covers is not sent, and every attempt is charged once. Decides about money only; the box, the retry and
 // all other refusals are the inner decider's.
 //
-// What a hop is charged:
+// What an attempt is charged:
 // - an answer with its tally: what the tally says, at the model's prices;
-// - a hop that never ran (full, not connected, not sent): nothing;
-// - a hop that may have run and gave no tally: its prompt as asked, and the text that came, four letters a token. The
+// - an attempt that never ran (full, not connected, not sent): nothing;
+// - an attempt that may have run and gave no tally: its prompt as asked, and the text that came, four letters a token. The
 //   box has read that prompt or may yet, and nobody can tell how much more it made.
 #pragma once
 
@@ -26,7 +26,7 @@
 
 struct Charge {
   RequestId exchange = 0;
-  std::uint8_t hop = 0;
+  std::uint8_t attempt = 0;
   ReplicaId replica = 0;
   Who who;
   std::uint64_t prompt = 0, kept = 0, made = 0;  // tokens
@@ -44,7 +44,7 @@
   Price price_of(std::uint16_t model) const { return model == 0 || model > prices.size() ? Price{} : prices[model - 1u]; }
 };
 
-// What a request may cost at the most, and what a hop did.
+// What a request may cost at the most, and what an attempt did.
 Units most_of(const Request& request, const Price& price);
 Units cost_of(std::uint64_t prompt, std::uint64_t kept, std::uint64_t made, const Price& price);
 
@@ -69,8 +69,8 @@
     Who who;
     ReservationId reservation = 0;
     std::uint8_t sends = 0;
-    bool out = false;       // a hop is
-    bool spent = false;     // an earlier hop was charged from what was reserved
+    bool out = false;       // an attempt is
+    bool spent = false;     // an earlier attempt was charged from what was reserved
     bool over = false;      // the request has its final answer, or its client has gone
     bool fair = false;      // its turn is counted
   };
--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -9,7 +9,7 @@
 Exchanges::Exchanges(const Settings& settings, const Surroundings& around, std::unique_ptr<Decider> decider)
     : around_(around),
       decider_(decider ? std::move(decider) : make_module(settings, around.clock.now())),
-      most_hops_(std::min<std::uint32_t>(settings.max_attempts, std::numeric_limits<decltype(HopId::number)>::max())),
+      most_attempts_(std::min<std::uint32_t>(settings.max_attempts, std::numeric_limits<decltype(AttemptId::number)>::max())),
       come_back_(settings.retry_after ? settings.max_retry_after / 2 : 0) {
   pump();
 }
@@ -28,7 +28,7 @@
   x.tally.request = x.arrival.request;
   ++counters_.taken;
   // Guards rule 1: whatever the module does, the final answer is out within the slack after the deadline.
-  x.backstop = set_alarm(x.arrival.request.due + kBackstop, {.kind = Due::backstop, .hop = {id, 0}});
+  x.backstop = set_alarm(x.arrival.request.due + kBackstop, {.kind = Due::backstop, .attempt = {id, 0}});
   decider_->on_request(now, x.arrival.request);
   pump();
   return id;
@@ -39,43 +39,43 @@
   if (found == exchanges_.end()) return;
   Exchange& x = found->second;
   decider_->on_client_gone(around_.clock.now(), exchange);
-  if (x.hop_out) drop_hop(x, Outcome::cancelled, true);
+  if (x.attempt_out) drop_attempt(x, Outcome::cancelled, true);
   conclude(exchange, Ending::client_gone, {});
   pump();
 }
 
 // Guards against work for nobody: the news of a client's end may stand in the kernel, behind bytes that nobody reads yet
 // or behind the event that is handled now.
-bool Exchanges::still_wanted(HopId hop) {
-  const Exchange* x = current(hop);
+bool Exchanges::still_wanted(AttemptId attempt) {
+  const Exchange* x = current(attempt);
   if (x == nullptr) return false;
   if (x->reply->client_there()) return true;
-  client_gone(hop.exchange);
+  client_gone(attempt.exchange);
   return false;
 }
 
 void Exchanges::client_congested(RequestId exchange, bool on) {
   const auto found = exchanges_.find(exchange);
-  if (found == exchanges_.end() || !found->second.hop_out) return;
-  around_.egress.hold(found->second.hop, on);
+  if (found == exchanges_.end() || !found->second.attempt_out) return;
+  around_.egress.hold(found->second.attempt, on);
 }
 
 // ---------------------------------------------------------------- egress targets
 
-Exchanges::Exchange* Exchanges::current(HopId hop) {
-  const auto found = exchanges_.find(hop.exchange);
+Exchanges::Exchange* Exchanges::current(AttemptId attempt) {
+  const auto found = exchanges_.find(attempt.exchange);
   if (found == exchanges_.end()) return nullptr;
   Exchange& x = found->second;
-  return x.hop_out && x.hop == hop ? &x : nullptr;
+  return x.attempt_out && x.attempt == attempt ? &x : nullptr;
 }
 
-void Exchanges::hop_event(HopId hop, const StreamEvent& event) {
-  Exchange* x = current(hop);
+void Exchanges::attempt_event(AttemptId attempt, const StreamEvent& event) {
+  Exchange* x = current(attempt);
   if (x == nullptr) return;
   if (event.kind == EventKind::error) {
     x->failed = true;
-    // Nothing has been passed on yet: the hop failed, and the module may choose another.
-    if (!x->started) return hop_ended(hop, Outcome::error);
+    // Nothing has been passed on yet: the attempt failed, and the module may choose another.
+    if (!x->started) return attempt_ended(attempt, Outcome::error);
   }
   if (event.kind == EventKind::end) x->whole = true;
   if (event.kind == EventKind::usage || event.has_usage) x->tally.usage = event.usage, x->tallied = true;
@@ -85,11 +85,11 @@
     const Time now = around_.clock.now();
     x->started = true;
     x->tally.first_event = now;
-    x->arrival.payload.reset();  // there is no other hop now, and bodies are the bulk of the memory
+    x->arrival.payload.reset();  // there is no other attempt now, and bodies are the bulk of the memory
     if (around_.beliefs != nullptr) {
       x->expectation = around_.beliefs->began(now, x->arrival.request, x->target);
     }
-    decider_->on_first_token(now, hop.exchange, hop.number, x->target, now - x->hop_sent);
+    decider_->on_first_token(now, attempt.exchange, attempt.number, x->target, now - x->attempt_sent);
     x->reply->served_by(x->model, x->allowance.get());
   }
   ++x->tally.events;
@@ -98,39 +98,39 @@
   pump();
 }
 
-void Exchanges::hop_ended(HopId hop, Outcome outcome, std::span<const float> load) {
-  Exchange* x = current(hop);
+void Exchanges::attempt_ended(AttemptId attempt, Outcome outcome, std::span<const float> load) {
+  Exchange* x = current(attempt);
   if (x == nullptr) return;
   // A stream without its terminal event, or with an error in it, is not whole, however it was framed.
   if (outcome == Outcome::served && x->failed) outcome = Outcome::error;
   if (outcome == Outcome::served && !x->whole) outcome = Outcome::reset;
   const bool concluded = x->started || outcome == Outcome::served;
-  if (outcome != Outcome::served) around_.egress.abandon(hop);
-  x->hop_out = false;
+  if (outcome != Outcome::served) around_.egress.abandon(attempt);
+  x->attempt_out = false;
   if (outcome == Outcome::served && around_.beliefs != nullptr) {
     const Usage& usage = x->tally.usage;
     around_.beliefs->answered(around_.clock.now(), x->arrival.request, x->target, x->expectation,
                               static_cast<double>(usage.kept), static_cast<double>(usage.made));
   }
-  report(hop, *x, outcome, concluded, load);
+  report(attempt, *x, outcome, concluded, load);
   if (concluded && outcome == Outcome::served) {
-    conclude(hop.exchange, Ending::served, [](Reply& r) { r.finish(); });
+    conclude(attempt.exchange, Ending::served, [](Reply& r) { r.finish(); });
   } else if (concluded) {
-    conclude(hop.exchange, Ending::broken, [](Reply& r) { r.break_off(); });
+    conclude(attempt.exchange, Ending::broken, [](Reply& r) { r.break_off(); });
   }
   pump();
 }
 
-void Exchanges::report(HopId hop, Exchange& x, Outcome outcome, bool concluded,
+void Exchanges::report(AttemptId attempt, Exchange& x, Outcome outcome, bool concluded,
                        std::span<const float> load) {
   const Time now = around_.clock.now();
   ++counters_.outcomes[outcome];
   x.may_have_run |= !never_ran(outcome);
-  decider_->on_attempt_result(now, {.id = hop.exchange,
-                                  .attempt = hop.number,
+  decider_->on_attempt_result(now, {.id = attempt.exchange,
+                                  .attempt = attempt.number,
                                   .replica = x.target,
                                   .outcome = outcome,
-                                  .elapsed = now - x.hop_sent,
+                                  .elapsed = now - x.attempt_sent,
                                   .concluded = concluded,
                                   .kept_tokens = static_cast<double>(x.tally.usage.kept),
                                   .prompt_tokens = static_cast<double>(x.tally.usage.prompt),
@@ -140,13 +140,13 @@
                                   .report = load});
 }
 
-// The connection is closed before the module hears of it: no two hops of an exchange are out at once. Guards a class
+// The connection is closed before the module hears of it: no two attempts of an exchange are out at once. Guards a class
 // that must not run twice against a promise that is not given: what was never written whole, as on a connection that
 // did not come up in time, has not run.
-void Exchanges::drop_hop(Exchange& x, Outcome outcome, bool concluded) {
-  const bool sent = around_.egress.abandon(x.hop);
-  x.hop_out = false;
-  report(x.hop, x, sent ? outcome : Outcome::not_sent, concluded, {});
+void Exchanges::drop_attempt(Exchange& x, Outcome outcome, bool concluded) {
+  const bool sent = around_.egress.abandon(x.attempt);
+  x.attempt_out = false;
+  report(x.attempt, x, sent ? outcome : Outcome::not_sent, concluded, {});
 }
 
 void Exchanges::probed(ReplicaId target, bool alive, std::span<const float> load) {
@@ -188,28 +188,28 @@
 }
 
 void Exchanges::ring(const Alarm& alarm) {
-  const auto found = exchanges_.find(alarm.hop.exchange);
-  if (found != exchanges_.end() && alarm.kind == Due::hop) found->second.hop_alarm.reset();
+  const auto found = exchanges_.find(alarm.attempt.exchange);
+  if (found != exchanges_.end() && alarm.kind == Due::attempt) found->second.attempt_alarm.reset();
   if (found != exchanges_.end() && alarm.kind == Due::backstop) found->second.backstop.reset();
   switch (alarm.kind) {
     case Due::module_timer: decider_->on_timer(around_.clock.now(), alarm.token); break;
-    case Due::hop: {
-      Exchange* x = current(alarm.hop);
-      if (x != nullptr && !x->started) drop_hop(*x, Outcome::timed_out, false);
+    case Due::attempt: {
+      Exchange* x = current(alarm.attempt);
+      if (x != nullptr && !x->started) drop_attempt(*x, Outcome::timed_out, false);
       break;
     }
     case Due::backstop: {
       if (found == exchanges_.end() || found->second.started) break;
       Exchange& x = found->second;
-      decider_->on_client_gone(around_.clock.now(), alarm.hop.exchange);
-      if (x.hop_out) {
-        drop_hop(x, Outcome::timed_out, true);
+      decider_->on_client_gone(around_.clock.now(), alarm.attempt.exchange);
+      if (x.attempt_out) {
+        drop_attempt(x, Outcome::timed_out, true);
       }
       // What was never sent on is not answered as failed: its client may repeat it.
       if (!x.may_have_run) {
-        conclude(alarm.hop.exchange, Ending::shed, [this](Reply& r) { r.shed(come_back_); });
+        conclude(alarm.attempt.exchange, Ending::shed, [this](Reply& r) { r.shed(come_back_); });
       } else {
-        conclude(alarm.hop.exchange, Ending::timed_out,
+        conclude(alarm.attempt.exchange, Ending::timed_out,
                  [this](Reply& r) { r.fail(Failure::timed_out, come_back_); });
       }
       break;
@@ -220,7 +220,7 @@
 
 // ---------------------------------------------------------------- the module's actions
 
-// Events that actions cause at once (a hop that cannot even be launched) reach the module while an outer
+// Events that actions cause at once (an attempt that cannot even be launched) reach the module while an outer
 // pump runs; that one goes on until nothing is left to do.
 void Exchanges::pump() {
   if (pumping_) return;
@@ -240,8 +240,8 @@
     case ActionKind::fail: {
       if (!open) return;
       Exchange& x = found->second;
-      if (x.hop_out) {
-        drop_hop(x, Outcome::cancelled, true);
+      if (x.attempt_out) {
+        drop_attempt(x, Outcome::cancelled, true);
       }
       const bool late = around_.clock.now() >= x.arrival.request.due;
       const Time back = action.time;
@@ -256,13 +256,13 @@
                       [=](Reply& r) { r.fail(late ? Failure::timed_out : Failure::upstream, back); });
     }
     case ActionKind::cancel: {
-      const HopId hop{action.id, action.attempt};
-      Exchange* x = current(hop);
-      if (x != nullptr && !x->started) drop_hop(*x, Outcome::cancelled, false);
+      const AttemptId attempt{action.id, action.attempt};
+      Exchange* x = current(attempt);
+      if (x != nullptr && !x->started) drop_attempt(*x, Outcome::cancelled, false);
       return;
     }
     case ActionKind::set_timer:
-      set_alarm(std::max(action.time, around_.clock.now()), {.token = action.token, .hop = {}});
+      set_alarm(std::max(action.time, around_.clock.now()), {.token = action.token, .attempt = {}});
       return;
     case ActionKind::watch_directory: return around_.directory.watch();
     case ActionKind::fetch_directory: return around_.directory.fetch();
@@ -276,33 +276,33 @@
   if (found == exchanges_.end()) return;
   Exchange& x = found->second;
   const Time now = around_.clock.now();
-  const HopId hop{action.id, x.sends++};
-  if (x.started || x.hop_out || hop.number >= most_hops_ || now >= x.arrival.request.due || action.time == kNotSent) {
+  const AttemptId attempt{action.id, x.sends++};
+  if (x.started || x.attempt_out || attempt.number >= most_attempts_ || now >= x.arrival.request.due || action.time == kNotSent) {
     ++counters_.outcomes[Outcome::not_sent];
     decider_->on_attempt_result(
         now,
-        {.id = action.id, .attempt = hop.number, .replica = action.replica, .outcome = Outcome::not_sent});
+        {.id = action.id, .attempt = attempt.number, .replica = action.replica, .outcome = Outcome::not_sent});
     return;
   }
   if (!x.reply->client_there()) {
     client_gone(action.id);
     ++counters_.outcomes[Outcome::not_sent];
-    return decider_->on_attempt_result(now, {.id = action.id, .attempt = hop.number, .replica = action.replica, .outcome = Outcome::not_sent});
+    return decider_->on_attempt_result(now, {.id = action.id, .attempt = attempt.number, .replica = action.replica, .outcome = Outcome::not_sent});
   }
-  x.hop = hop;
-  x.hop_out = true;
+  x.attempt = attempt;
+  x.attempt_out = true;
   x.failed = false;
   x.target = x.tally.last_target = action.replica;
-  ++x.tally.hops;
+  ++x.tally.attempts;
   x.model = x.tally.model = action.model;
   x.allowance = action.allowance;
-  x.hop_sent = now;
+  x.attempt_sent = now;
   const Time due = x.arrival.request.due;
-  x.hop_until = action.time > 0 ? std::min(now + action.time, due) : due;
-  ++counters_.hops;
-  cancel(x.hop_alarm);
-  x.hop_alarm = set_alarm(x.hop_until, {.kind = Due::hop, .hop = hop});
-  around_.egress.launch(hop, action.replica, x.arrival.payload, x.hop_until, x.model);
+  x.attempt_until = action.time > 0 ? std::min(now + action.time, due) : due;
+  ++counters_.attempts;
+  cancel(x.attempt_alarm);
+  x.attempt_alarm = set_alarm(x.attempt_until, {.kind = Due::attempt, .attempt = attempt});
+  around_.egress.launch(attempt, action.replica, x.arrival.payload, x.attempt_until, x.model);
 }
 
 void Exchanges::conclude(RequestId id, Ending ending, const std::function<void(Reply&)>& answer) {
@@ -310,7 +310,7 @@
   if (found == exchanges_.end()) return;
   Exchange x = std::move(found->second);
   cancel(x.backstop);
-  cancel(x.hop_alarm);
+  cancel(x.attempt_alarm);
   exchanges_.erase(found);  // first: the reply may bring the client's next exchange
   switch (ending) {
     case Ending::served: ++counters_.served; break;
--- a/src/core/exchanges.hpp
+++ b/src/core/exchanges.hpp
@@ -1,4 +1,4 @@
-// The core: owns the exchanges, their hops and deadlines and the one final answer of each. It turns neutral
+// The core: owns the exchanges, their attempts and deadlines and the one final answer of each. It turns neutral
 // events into calls of the decision module, and the module's actions into calls on the small interfaces
 // below. It knows no wire, no HTTP and no event loop.
 #pragma once
@@ -34,16 +34,16 @@
   virtual void refused_for(const Allowance&, Time come_back) { shed(come_back); }
 };
 
-// Where hops go. A launched hop reports through Exchanges::hop_*; an abandoned one stays silent after.
+// Where attempts go. A launched attempt reports through Exchanges::attempt_*; an abandoned one stays silent after.
 class Egress {
  public:
   virtual ~Egress() = default;
   // `model`: what the target is to serve, by its number in the catalogue; 0: what the payload asks for.
-  virtual void launch(HopId hop, ReplicaId target, std::shared_ptr<const Payload> payload, Time until,
+  virtual void launch(AttemptId attempt, ReplicaId target, std::shared_ptr<const Payload> payload, Time until,
                       std::uint16_t model) = 0;
   // Its connection is closed or half-closed on return. False: the request was not written whole, so it cannot have run.
-  virtual bool abandon(HopId hop) = 0;
-  virtual void hold(HopId hop, bool on) = 0;  // stop reading its answer for a while
+  virtual bool abandon(AttemptId attempt) = 0;
+  virtual void hold(AttemptId attempt, bool on) = 0;  // stop reading its answer for a while
   virtual void probe(ReplicaId target) = 0;
 };
 
@@ -68,7 +68,7 @@
 };
 
 struct Counters {
-  std::uint64_t taken = 0, hops = 0, served = 0, shed = 0, failed = 0, timed_out = 0, broken = 0, gone = 0;
+  std::uint64_t taken = 0, attempts = 0, served = 0, shed = 0, failed = 0, timed_out = 0, broken = 0, gone = 0;
   std::map<Outcome, std::uint64_t> outcomes;
 };
 
@@ -95,12 +95,12 @@
   void client_congested(RequestId exchange, bool on);
 
   // From the egress targets.
-  void hop_event(HopId hop, const StreamEvent& event);
-  void hop_ended(HopId hop, Outcome outcome, std::span<const float> report = {});
+  void attempt_event(AttemptId attempt, const StreamEvent& event);
+  void attempt_ended(AttemptId attempt, Outcome outcome, std::span<const float> report = {});
   void probed(ReplicaId target, bool alive, std::span<const float> report);
-  // Asked before the first byte of a hop goes out, which may be long after its launch. False: the client has gone
-  // meanwhile, and the hop is abandoned on return.
-  bool still_wanted(HopId hop);
+  // Asked before the first byte of an attempt goes out, which may be long after its launch. False: the client has gone
+  // meanwhile, and the attempt is abandoned on return.
+  bool still_wanted(AttemptId attempt);
 
   // From discovery, the peers and the clock.
   void listed(DirectoryScope scope, std::span<const ReplicaListing> entries);
@@ -115,11 +115,11 @@
   std::vector<ReplicaId> left_out() const { return decider_->left_out(around_.clock.now()); }
 
  private:
-  enum class Due { module_timer, hop, backstop };
+  enum class Due { module_timer, attempt, backstop };
   struct Alarm {
     Due kind = Due::module_timer;
     std::uint32_t token = 0;
-    HopId hop;
+    AttemptId attempt;
   };
   using Alarms = std::multimap<Time, Alarm>;
   using Set = std::optional<Alarms::iterator>;  // an alarm that has not rung yet
@@ -129,34 +129,34 @@
     Arrival arrival;
     Tally tally;
     std::uint8_t sends = 0;  // as the module counts them; one that was never launched has its number too
-    HopId hop;               // the latest that was launched
-    bool hop_out = false, started = false, whole = false, failed = false;
+    AttemptId attempt;               // the latest that was launched
+    bool attempt_out = false, started = false, whole = false, failed = false;
     bool may_have_run = false;  // some attempt of it
     ReplicaId target = 0;
-    Time hop_sent = 0, hop_until = 0;
-    std::uint16_t model = 0;  // of the latest hop
+    Time attempt_sent = 0, attempt_until = 0;
+    std::uint16_t model = 0;  // of the latest attempt
     std::shared_ptr<const Allowance> allowance;
     double letters = 0;  // of the answer's text so far
     bool tallied = false;
-    affinity::Expectation expectation;  // of the hop that has started
-    Set backstop, hop_alarm;
+    affinity::Expectation expectation;  // of the attempt that has started
+    Set backstop, attempt_alarm;
   };
 
-  Exchange* current(HopId hop);
+  Exchange* current(AttemptId attempt);
   void pump();
   void act(const Action& action);
   void send(const Action& action);
   void conclude(RequestId id, Ending ending, const std::function<void(Reply&)>& answer);
-  void report(HopId hop, Exchange& exchange, Outcome outcome, bool concluded,
+  void report(AttemptId attempt, Exchange& exchange, Outcome outcome, bool concluded,
               std::span<const float> load);
-  void drop_hop(Exchange& exchange, Outcome outcome, bool concluded);
+  void drop_attempt(Exchange& exchange, Outcome outcome, bool concluded);
   Alarms::iterator set_alarm(Time when, Alarm alarm);
   void cancel(Set& alarm);
   void ring(const Alarm& alarm);
 
   Surroundings around_;
   std::unique_ptr<Decider> decider_;
-  std::uint32_t most_hops_;
+  std::uint32_t most_attempts_;
   Time come_back_;  // advised by the core's own answers
   std::unordered_map<RequestId, Exchange> exchanges_;
   Alarms alarms_;
--- a/src/core/neutral.hpp
+++ b/src/core/neutral.hpp
@@ -12,10 +12,10 @@
 namespace sprucecourse::core {
 
 // One attempt of an exchange.
-struct HopId {
+struct AttemptId {
   RequestId exchange = 0;
   std::uint8_t number = 0;
-  auto operator<=>(const HopId&) const = default;
+  auto operator<=>(const AttemptId&) const = default;
 };
 
 struct Usage {
@@ -45,7 +45,7 @@
   std::string_view dialect;  // whose words the frame is in
 };
 
-// What a hop carries to its egress target. The core hands it through without a look inside.
+// What an attempt carries to its egress target. The core hands it through without a look inside.
 struct Payload {
   virtual ~Payload() = default;
 };
@@ -63,9 +63,9 @@
 struct Tally {
   Ending ending = Ending::served;
   Time arrived = 0, first_event = 0, ended = 0;
-  unsigned hops = 0;
+  unsigned attempts = 0;
   ReplicaId last_target = 0;
-  std::uint16_t model = 0;  // that the last hop was for; 0: there is no catalogue
+  std::uint16_t model = 0;  // that the last attempt was for; 0: there is no catalogue
   std::uint64_t events = 0, bytes = 0;
   Usage usage;
   Request request;
--- a/src/emulator/boxes.cpp
+++ b/src/emulator/boxes.cpp
@@ -76,22 +76,22 @@
   take_down(number, false);
 }
 
-void Day::hop_arrives(Name name) {
-  Hop* hop = hops.find(name);
-  if (hop == nullptr) return;
-  Box& box = boxes[hop->box];
-  EmulatedRouter& router = *routers[hop->router];
+void Day::attempt_arrives(Name name) {
+  Attempt* attempt = attempts.find(name);
+  if (attempt == nullptr) return;
+  Box& box = boxes[attempt->box];
+  EmulatedRouter& router = *routers[attempt->router];
   if (!box.up && box.silent) return;
-  if (!box.up) return at(now + one_way(box.hall, router.hall), What::hop_broke, name);
-  const Turn* turn = turns.find(hop->turn);
+  if (!box.up) return at(now + one_way(box.hall, router.hall), What::attempt_broke, name);
+  const Turn* turn = turns.find(attempt->turn);
   if (turn == nullptr) return;
   ++box.result.sent;
   box.result.work += turn->work;
   const Time back = one_way(box.hall, router.hall);
   if (scenario.kinds[box.kind].error_rate > 0 && box_chance.happens(scenario.kinds[box.kind].error_rate)) {
-    return at(now + back, What::hop_broke, name);
+    return at(now + back, What::attempt_broke, name);
   }
-  hop->made = turn->made;
+  attempt->made = turn->made;
   const bool taken = box.engine->offer(now, {.job = name,
                                              .session = turn->key,
                                              .prefix = turn->prefix,
@@ -102,10 +102,10 @@
                                              .due = turn->deadline});
   if (!taken) {
     ++box.result.full;
-    return at(now + back, What::hop_refused, name);
+    return at(now + back, What::attempt_refused, name);
   }
-  hop->at_box = true;
-  const std::uint32_t number = hop->box;
+  attempt->at_box = true;
+  const std::uint32_t number = attempt->box;
   result.work_wasted += turn->work;  // until it is answered
   watch_tipping(box, number, turn->work);
   wake_box(number);
@@ -122,12 +122,12 @@
   box.lately_sum = 0;
   wake_box(number);
   std::vector<Name> lost;
-  hops.each([&](Name name, const Hop& hop) {
-    if (hop.box == number && hop.at_box) lost.push_back(name);
+  attempts.each([&](Name name, const Attempt& attempt) {
+    if (attempt.box == number && attempt.at_box) lost.push_back(name);
   });
   for (const Name name : lost) {
-    const Time heard = silent ? kSilence : one_way(box.hall, routers[hops.find(name)->router]->hall);
-    at(now + heard, What::hop_broke, name);
+    const Time heard = silent ? kSilence : one_way(box.hall, routers[attempts.find(name)->router]->hall);
+    at(now + heard, What::attempt_broke, name);
   }
   box.connections = 0;
   for (auto& router : routers) router->links[number].idle.clear();
--- a/src/emulator/day.hpp
+++ b/src/emulator/day.hpp
@@ -29,12 +29,12 @@
   try_comes,       // name: turn
   impatience,      // name: turn
   router_wakes,    // who: router, name: which of its wakes
-  hop_arrives,     // name: hop
-  hop_fails,       // name: hop; no connection
-  hop_refused,     // name: hop; the box is full
-  hop_began,       // name: hop
-  hop_done,        // name: hop
-  hop_broke,       // name: hop
+  attempt_arrives,     // name: attempt
+  attempt_fails,       // name: attempt; no connection
+  attempt_refused,     // name: attempt; the box is full
+  attempt_began,       // name: attempt
+  attempt_done,        // name: attempt
+  attempt_broke,       // name: attempt
   box_wakes,       // who: box, name: which of its wakes
   box_warms,       // who: box; its pace is set anew while it is cold
   listing_known,   // name: index of a change
@@ -90,8 +90,8 @@
   bool resumed = false, answered = false;
 };
 
-struct Hop {
-  core::HopId id;
+struct Attempt {
+  core::AttemptId id;
   std::uint32_t router = 0, box = 0;
   Name turn = 0;
   bool at_box = false;  // the engine has it
@@ -100,7 +100,7 @@
   double finished = 0;  // tokens that its box has made to the end, and nobody has heard of yet
 };
 
-// Connections of one router to one box that wait for their next hop, by when they came to rest.
+// Connections of one router to one box that wait for their next attempt, by when they came to rest.
 struct Link {
   std::vector<Time> idle;
 };
@@ -134,10 +134,10 @@
 
   Time now() const override;
   void wake_at(Time when) override;
-  void launch(core::HopId hop, ReplicaId target, std::shared_ptr<const core::Payload> payload, Time until,
+  void launch(core::AttemptId attempt, ReplicaId target, std::shared_ptr<const core::Payload> payload, Time until,
               std::uint16_t model) override;
-  bool abandon(core::HopId hop) override;
-  void hold(core::HopId, bool) override {}
+  bool abandon(core::AttemptId attempt) override;
+  void hold(core::AttemptId, bool) override {}
   void probe(ReplicaId target) override;
   void watch() override;
   void fetch() override { watch(); }
@@ -153,7 +153,7 @@
   std::unique_ptr<budgets::Treasury> treasury;  // before the core, whose decider uses both
   std::unique_ptr<budgets::FairShare> fair;
   std::unique_ptr<core::Exchanges> core;
-  absl::flat_hash_map<RequestId, Name> hops;  // the one that is out, of each exchange
+  absl::flat_hash_map<RequestId, Name> attempts;  // the one that is out, of each exchange
   std::vector<Link> links;                    // by box
   std::vector<Time> told_off;                 // by box: when this router heard that it drains or is gone; 0: not
   bool subscribed = false, up = true;
@@ -178,7 +178,7 @@
   void add_box(bool at_start);
   void take_down(std::uint32_t box, bool silent);
   void bring_back(std::uint32_t box);
-  void hop_arrives(Name name);
+  void attempt_arrives(Name name);
   void wake_box(std::uint32_t box);
   void set_pace(std::uint32_t box);
   double ability(const Box& box) const;
@@ -190,10 +190,10 @@
   void start_router(std::uint32_t number);
   void stop_router(std::uint32_t number);
   Settings settings_for(std::uint32_t number) const;
-  void end_hop(Name name, Outcome outcome);
+  void end_attempt(Name name, Outcome outcome);
   void add_up(const EmulatedRouter& router);
-  void forget_hop(Name name);
-  void close(EmulatedRouter& router, const Hop& hop, bool reusable);
+  void forget_attempt(Name name);
+  void close(EmulatedRouter& router, const Attempt& attempt, bool reusable);
 
   // ------------------------------------------------------------ clients (clients.cpp)
   void plan_demand();
@@ -228,7 +228,7 @@
   std::vector<std::unique_ptr<EmulatedRouter>> routers;
   Slab<Session> sessions;
   Slab<Turn> turns;
-  Slab<Hop> hops;
+  Slab<Attempt> attempts;
   Slab<Letter> letters;
   std::vector<std::vector<double>> one_way_us;  // between halls
   double notice_s = 1, silent_notice_s = 5, add_s = 1, peer_us = 1, backoff_us = 0;
--- a/src/emulator/result.cpp
+++ b/src/emulator/result.cpp
@@ -123,7 +123,7 @@
   Json json = {{"scenario", r.scenario},   {"policy", r.policy},   {"seed", r.seed},
                {"seconds", r.seconds},     {"routers", r.routers}, {"boxes", r.boxes},
                {"score", r.score},         {"whole", r.whole.share()},
-               {"turns", r.turns},         {"tries", r.tries},     {"hops", r.hops},
+               {"turns", r.turns},         {"tries", r.tries},     {"attempts", r.attempts},
                {"crossings", r.crossings}, {"sample_s", r.sample_s}, {"events", r.events},   {"kept_share", r.kept_share()}};
   json["wasted_share"] = r.work_asked > 0 ? r.work_wasted / r.work_asked : 0;
   for (const auto& c : r.classes) json["classes"].push_back(of_class(c));
--- a/src/emulator/result.hpp
+++ b/src/emulator/result.hpp
@@ -52,7 +52,7 @@
 
 struct Broken {  // rules
   std::uint64_t lost = 0;       // a client's try without a final answer in time
-  std::uint64_t twice = 0;      // two hops of one exchange at once
+  std::uint64_t twice = 0;      // two attempts of one exchange at once
   std::uint64_t drained = 0;    // new work later than allowed to a box that drains or is gone
   std::uint64_t tipped = 0;     // cold boxes that were pushed over
   std::uint64_t all() const { return lost + twice + drained + tipped; }
@@ -79,7 +79,7 @@
   double score = 0;  // parts as docs/lab.md, "Score"
   Worth whole;
   std::uint64_t told_bytes = 0;  // of messages between routers, for each that one was sent to
-  std::uint64_t turns = 0, tries = 0, hops = 0, crossings = 0, events = 0;
+  std::uint64_t turns = 0, tries = 0, attempts = 0, crossings = 0, events = 0;
   double prompt_tokens = 0, kept_tokens = 0;  // of answers that began
   double work_asked = 0, work_wasted = 0;
   std::uint64_t fleet_losses = 0, box_losses = 0, regained = 0;  // of trust in kept copies, at all routers
--- a/src/emulator/routers.cpp
+++ b/src/emulator/routers.cpp
@@ -85,46 +85,46 @@
 
 void EmulatedRouter::wake_at(Time when) { day_.at(when, What::router_wakes, ++wakes, number); }
 
-void EmulatedRouter::launch(core::HopId id, ReplicaId target, std::shared_ptr<const core::Payload> payload, Time,
+void EmulatedRouter::launch(core::AttemptId id, ReplicaId target, std::shared_ptr<const core::Payload> payload, Time,
                             std::uint16_t) {
   const auto found = day_.box_of.find(target);
-  const Name name = day_.hops.make();
-  Hop& hop = *day_.hops.find(name);
-  hop.id = id;
-  hop.router = number;
-  hop.box = found->second;
-  hop.turn = static_cast<const Turn*>(payload.get())->name;
-  if (!hops.insert({id.exchange, name}).second) ++day_.result.broken.twice;
-  ++day_.result.hops;
-  Box& box = day_.boxes[hop.box];
+  const Name name = day_.attempts.make();
+  Attempt& attempt = *day_.attempts.find(name);
+  attempt.id = id;
+  attempt.router = number;
+  attempt.box = found->second;
+  attempt.turn = static_cast<const Turn*>(payload.get())->name;
+  if (!attempts.insert({id.exchange, name}).second) ++day_.result.broken.twice;
+  ++day_.result.attempts;
+  Box& box = day_.boxes[attempt.box];
   if (box.hall != hall) ++day_.result.crossings;
-  const Time told = told_off[hop.box];
+  const Time told = told_off[attempt.box];
   if (told > 0 && day_.now > told + static_cast<Time>(1000 * day_.scenario.drain_grace_ms)) ++day_.result.broken.drained;
   const Time there = day_.one_way(hall, box.hall);
-  if (!box.up && box.silent) return day_.at(day_.now + static_cast<Time>(1000 * day_.scenario.dial_ms), What::hop_fails, name);
-  if (!box.up) return day_.at(day_.now + 2 * there, What::hop_fails, name);
-  auto& idle = links[hop.box].idle;
+  if (!box.up && box.silent) return day_.at(day_.now + static_cast<Time>(1000 * day_.scenario.dial_ms), What::attempt_fails, name);
+  if (!box.up) return day_.at(day_.now + 2 * there, What::attempt_fails, name);
+  auto& idle = links[attempt.box].idle;
   const Time rested = day_.now - static_cast<Time>(1e6 * day_.scenario.idle_s);
   // The latest is taken first; those that rested too long are closed.
   if (!idle.empty() && idle.back() < rested) box.connections -= std::exchange(idle, {}).size();
   if (!idle.empty()) {
     idle.pop_back();
-    return day_.at(day_.now + there, What::hop_arrives, name);
+    return day_.at(day_.now + there, What::attempt_arrives, name);
   }
-  if (box.connections >= day_.scenario.most_connections) return day_.at(day_.now + 2 * there, What::hop_fails, name);
+  if (box.connections >= day_.scenario.most_connections) return day_.at(day_.now + 2 * there, What::attempt_fails, name);
   ++box.connections;
   const Time shake = 2 * there + static_cast<Time>(1000 * day_.scenario.handshake_ms);
-  day_.at(day_.now + shake + there, What::hop_arrives, name);
+  day_.at(day_.now + shake + there, What::attempt_arrives, name);
 }
 
 // The connection closes; what the box has begun it ends for nobody.
-bool EmulatedRouter::abandon(core::HopId id) {
-  const auto found = hops.find(id.exchange);
-  if (found == hops.end()) return false;
+bool EmulatedRouter::abandon(core::AttemptId id) {
+  const auto found = attempts.find(id.exchange);
+  if (found == attempts.end()) return false;
   const Name name = found->second;
-  hops.erase(found);
-  if (Hop* hop = day_.hops.find(name)) day_.close(*this, *hop, false);
-  day_.forget_hop(name);
+  attempts.erase(found);
+  if (Attempt* attempt = day_.attempts.find(name)) day_.close(*this, *attempt, false);
+  day_.forget_attempt(name);
   return true;
 }
 
@@ -157,28 +157,28 @@
   day_.at(day_.now + std::llround(day_.peer_chance.exponential(day_.peer_us)), What::peer_heard, name);
 }
 
-void Day::forget_hop(Name name) {
-  if (const Hop* hop = hops.find(name)) result.sum.tokens_for_nobody += hop->finished;
-  hops.drop(name);
+void Day::forget_attempt(Name name) {
+  if (const Attempt* attempt = attempts.find(name)) result.sum.tokens_for_nobody += attempt->finished;
+  attempts.drop(name);
 }
 
-void Day::close(EmulatedRouter& router, const Hop& hop, bool reusable) {
-  Box& box = boxes[hop.box];
+void Day::close(EmulatedRouter& router, const Attempt& attempt, bool reusable) {
+  Box& box = boxes[attempt.box];
   if (!box.up) return;
-  if (reusable) return router.links[hop.box].idle.push_back(now);
+  if (reusable) return router.links[attempt.box].idle.push_back(now);
   box.connections -= box.connections > 0 ? 1 : 0;
 }
 
-// A hop that its core still waits for ends; everything else about it is over.
-void Day::end_hop(Name name, Outcome outcome) {
-  Hop* hop = hops.find(name);
-  if (hop == nullptr) return;
-  EmulatedRouter& router = *routers[hop->router];
-  const core::HopId id = hop->id;
-  close(router, *hop, outcome == Outcome::served || outcome == Outcome::full);
-  router.hops.erase(id.exchange);
-  forget_hop(name);
-  router.core->hop_ended(id, outcome);
+// An attempt that its core still waits for ends; everything else about it is over.
+void Day::end_attempt(Name name, Outcome outcome) {
+  Attempt* attempt = attempts.find(name);
+  if (attempt == nullptr) return;
+  EmulatedRouter& router = *routers[attempt->router];
+  const core::AttemptId id = attempt->id;
+  close(router, *attempt, outcome == Outcome::served || outcome == Outcome::full);
+  router.attempts.erase(id.exchange);
+  forget_attempt(name);
+  router.core->attempt_ended(id, outcome);
 }
 
 // ---------------------------------------------------------------- discovery
@@ -288,13 +288,13 @@
   add_up(router);
   result.sum.gone += std::exchange(result.sum.open, 0);
   std::vector<Name> out;
-  for (const auto& [exchange, name] : router.hops) out.push_back(name);
+  for (const auto& [exchange, name] : router.attempts) out.push_back(name);
   std::sort(out.begin(), out.end());  // a hash table's order is another one in each process
   for (const Name name : out) {
-    if (const Hop* hop = hops.find(name)) close(router, *hop, false);
-    forget_hop(name);
+    if (const Attempt* attempt = attempts.find(name)) close(router, *attempt, false);
+    forget_attempt(name);
   }
-  router.hops.clear();
+  router.attempts.clear();
   std::vector<Name> cut;
   turns.each([&](Name name, const Turn& turn) {
     if (turn.router == number && turn.exchange != 0) cut.push_back(name);
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -114,35 +114,35 @@
       if (event.name == router.wakes && router.up) router.core->wake();
       return;
     }
-    case What::hop_arrives: return hop_arrives(event.name);
-    case What::hop_fails: return end_hop(event.name, Outcome::connect_failed);
-    case What::hop_refused: return end_hop(event.name, Outcome::full);
-    case What::hop_broke: return end_hop(event.name, Outcome::reset);
-    case What::hop_began: {
-      if (Hop* hop = hops.find(event.name)) {
-        const double prompt = turns.find(hop->turn)->prompt;
-        result.kept_tokens += hop->kept;
+    case What::attempt_arrives: return attempt_arrives(event.name);
+    case What::attempt_fails: return end_attempt(event.name, Outcome::connect_failed);
+    case What::attempt_refused: return end_attempt(event.name, Outcome::full);
+    case What::attempt_broke: return end_attempt(event.name, Outcome::reset);
+    case What::attempt_began: {
+      if (Attempt* attempt = attempts.find(event.name)) {
+        const double prompt = turns.find(attempt->turn)->prompt;
+        result.kept_tokens += attempt->kept;
         result.prompt_tokens += prompt;
-        auto& read = boxes[hop->box].result.read;
+        auto& read = boxes[attempt->box].result.read;
         const auto sample = static_cast<std::size_t>(static_cast<double>(now) / 1e6 / result.sample_s);
         if (read.size() <= sample) read.resize(sample + 1);
-        read[sample] += prompt - hop->kept;
-        routers[hop->router]->core->hop_event(hop->id, first_frame);
+        read[sample] += prompt - attempt->kept;
+        routers[attempt->router]->core->attempt_event(attempt->id, first_frame);
       }
       return;
     }
-    case What::hop_done: {
-      Hop* hop = hops.find(event.name);
-      if (hop == nullptr) return;
-      core::Exchanges& core = *routers[hop->router]->core;
-      const core::HopId id = hop->id;
-      const Turn* turn = turns.find(hop->turn);
-      result.sum.tokens_charged += std::exchange(hop->finished, 0);
-      usage_frame.usage = {static_cast<std::uint64_t>(turn->prompt), static_cast<std::uint64_t>(hop->made),
-                           static_cast<std::uint64_t>(hop->kept)};
-      core.hop_event(id, usage_frame);
-      core.hop_event(id, end_frame);
-      return end_hop(event.name, Outcome::served);
+    case What::attempt_done: {
+      Attempt* attempt = attempts.find(event.name);
+      if (attempt == nullptr) return;
+      core::Exchanges& core = *routers[attempt->router]->core;
+      const core::AttemptId id = attempt->id;
+      const Turn* turn = turns.find(attempt->turn);
+      result.sum.tokens_charged += std::exchange(attempt->finished, 0);
+      usage_frame.usage = {static_cast<std::uint64_t>(turn->prompt), static_cast<std::uint64_t>(attempt->made),
+                           static_cast<std::uint64_t>(attempt->kept)};
+      core.attempt_event(id, usage_frame);
+      core.attempt_event(id, end_frame);
+      return end_attempt(event.name, Outcome::served);
     }
     case What::box_wakes: {
       Box& box = boxes[event.who];
@@ -151,20 +151,20 @@
       reports.clear();
       box.engine->run(now, reports);
       for (const Report& report : reports) {
-        Hop* hop = hops.find(report.job);
-        if (hop == nullptr) {  // nobody waits for it any more
+        Attempt* attempt = attempts.find(report.job);
+        if (attempt == nullptr) {  // nobody waits for it any more
           result.sum.tokens_for_nobody += report.made;
           continue;
         }
-        hop->finished = report.made;
-        hop->kept = report.kept;
-        const Time back = one_way(box.hall, routers[hop->router]->hall);
+        attempt->finished = report.made;
+        attempt->kept = report.kept;
+        const Time back = one_way(box.hall, routers[attempt->router]->hall);
         // Bytes of one connection keep their order.
-        hop->heard = std::max(hop->heard, now + back);
-        if (report.said != Said::began) hop->at_box = false;
-        at(hop->heard, report.said == Said::began ? What::hop_began
-                       : report.said == Said::done ? What::hop_done
-                                                   : What::hop_broke,
+        attempt->heard = std::max(attempt->heard, now + back);
+        if (report.said != Said::began) attempt->at_box = false;
+        at(attempt->heard, report.said == Said::began ? What::attempt_began
+                       : report.said == Said::done ? What::attempt_done
+                                                   : What::attempt_broke,
            report.job);
       }
       return wake_box(event.who);
@@ -226,7 +226,7 @@
     if (router->core) add_up(*router);
   }
   turns.each([&](Name, const Turn& turn) { result.broken.lost += turn.exchange != 0 && turn.first_at == 0; });
-  hops.each([&](Name, const Hop& hop) { result.sum.tokens_for_nobody += hop.finished; });
+  attempts.each([&](Name, const Attempt& attempt) { result.sum.tokens_for_nobody += attempt.finished; });
   for (auto& box : boxes) result.sum.tokens_made += box.engine->load().finished;
   for (auto& box : boxes) result.fleet.push_back(std::move(box.result));
   set_score(result);
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -2,7 +2,7 @@
 // the real core with the real decision module (or a rival in its place). Discrete events; one thread; the same
 // scenario and seed give the same day to the bit.
 //
-// Memory follows what is open: requests, hops and sessions live in slabs whose places are used again.
+// Memory follows what is open: requests, attempts and sessions live in slabs whose places are used again.
 #pragma once
 
 #include <memory>
--- a/src/fronts/dialect.cpp
+++ b/src/fronts/dialect.cpp
@@ -155,9 +155,9 @@
   return out.append(body, copied);
 }
 
-HopBytes write_hop(const Call& call, const Dialect& target, Time wait, std::string_view model) {
+AttemptBytes write_attempt(const Call& call, const Dialect& target, Time wait, std::string_view model) {
   const bool same = &target == call.dialect;
-  HopBytes bytes;
+  AttemptBytes bytes;
   if (same) {
     bytes.body = call.body;
     if (!model.empty()) {
--- a/src/fronts/dialect.hpp
+++ b/src/fronts/dialect.hpp
@@ -87,14 +87,14 @@
 // The request that a client's head and body tell of. Throws http::BadMessage.
 Request read_request(const Call& call, const Names& names, Time now);
 
-// The bytes of a hop: as the client sent them where the target speaks its dialect, else rewritten. Only the
+// The bytes of an attempt: as the client sent them where the target speaks its dialect, else rewritten. Only the
 // time that the router will wait differs, and the model, where `model` names one that the body does not. Returned
 // apart: the head, and the body that it announces.
-struct HopBytes {
+struct AttemptBytes {
   std::string head;
   std::shared_ptr<const std::string> body;
 };
-HopBytes write_hop(const Call& call, const Dialect& target, Time wait, std::string_view model = {});
+AttemptBytes write_attempt(const Call& call, const Dialect& target, Time wait, std::string_view model = {});
 
 // The same JSON object with another value for its own "model", byte for byte else. Throws http::BadMessage.
 std::string with_model(const std::string& body, std::string_view model);
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -44,7 +44,7 @@
                                  {"in time", &Row::in_time},
                                  {"prompt tokens found kept", &Row::kept},
                                  {"shed", &Row::shed},
-                                 {"hops a request", &Row::hops},
+                                 {"attempts a request", &Row::attempts},
                                  {"decisions, us a request", &Row::module_us},
                                  {"emulated requests a second", &Row::requests_per_s}};
 
--- a/src/models/pools.cpp
+++ b/src/models/pools.cpp
@@ -267,7 +267,7 @@
   ++pool.figures.asked;
   Request told = x.request;
   told.model = model;
-  told.hops_before = static_cast<std::uint8_t>(x.hops.size());
+  told.attempts_before = static_cast<std::uint8_t>(x.attempts.size());
   pool.decider->on_request(now_, told);
   touch(pool);
   return true;
@@ -277,7 +277,7 @@
 bool Pools::go_on(RequestId, Exchange& x) {
   if (x.next.empty()) return false;
   if (x.request.no_fallback) return ++figures_.forbidden, false;
-  if (x.hops.size() >= options_.settings.max_attempts) return ++figures_.no_hops, false;
+  if (x.attempts.size() >= options_.settings.max_attempts) return ++figures_.no_attempts, false;
   while (!x.next.empty()) {
     const Candidate candidate = x.next.front();
     x.next.pop_front();
@@ -337,10 +337,10 @@
     case ActionKind::cancel: {
       const auto found = open_.find(action.id);
       if (found == open_.end()) return;
-      auto& hops = found->second.hops;
-      // By the number of the exchange's hop, not of the module's.
-      for (std::size_t i = 0; i < hops.size(); ++i) {
-        if (hops[i].pool != &pool || hops[i].attempt != action.attempt) continue;
+      auto& attempts = found->second.attempts;
+      // By the number of the exchange's attempt, not of the module's.
+      for (std::size_t i = 0; i < attempts.size(); ++i) {
+        if (attempts[i].pool != &pool || attempts[i].number != action.attempt) continue;
         action.attempt = static_cast<std::uint8_t>(i);
         return out.push_back(std::move(action));
       }
@@ -369,8 +369,8 @@
   if (found == open_.end()) return;
   Exchange& x = found->second;
   const auto attempt = static_cast<std::uint8_t>(
-      std::count_if(x.hops.begin(), x.hops.end(), [&](const Hop& hop) { return hop.pool == &pool; }));
-  x.hops.push_back({&pool, attempt, action.replica});
+      std::count_if(x.attempts.begin(), x.attempts.end(), [&](const Attempt& each) { return each.pool == &pool; }));
+  x.attempts.push_back({&pool, attempt, action.replica});
   x.out = true;
   action.model = pool.model;
   for_others(action.replica, &pool, [&](Pool& other) { other.decider->on_shared_send(action.replica); });
@@ -387,9 +387,9 @@
   if (!over) pool.bearing.refused(now_);
   if (action.kind == ActionKind::refuse) {
     leave(x, pool.model, over ? When::over_budget : When::overloaded);
-    // The hop that is out ends before another one begins.
+    // The attempt that is out ends before another one begins.
     const bool was_out = x.out;
-    const auto last = static_cast<std::uint8_t>(x.hops.empty() ? 0 : x.hops.size() - 1);
+    const auto last = static_cast<std::uint8_t>(x.attempts.empty() ? 0 : x.attempts.size() - 1);
     if (go_on(action.id, x)) {
       if (was_out) out.push_back({.kind = ActionKind::cancel, .id = action.id, .attempt = last});
       return;
@@ -405,29 +405,29 @@
 void Pools::on_first_token(Time now, RequestId id, std::uint8_t attempt, ReplicaId replica, Time elapsed) {
   now_ = now;
   const auto found = open_.find(id);
-  if (found == open_.end() || attempt >= found->second.hops.size()) return;
-  const Hop hop = found->second.hops[attempt];
-  hop.pool->decider->on_first_token(now, id, hop.attempt, replica, elapsed);
-  touch(*hop.pool);
-  for_others(replica, hop.pool, [&](Pool& other) { other.decider->on_first_token(now, kNobody, 0, replica, elapsed); });
+  if (found == open_.end() || attempt >= found->second.attempts.size()) return;
+  const Attempt ours = found->second.attempts[attempt];
+  ours.pool->decider->on_first_token(now, id, ours.number, replica, elapsed);
+  touch(*ours.pool);
+  for_others(replica, ours.pool, [&](Pool& other) { other.decider->on_first_token(now, kNobody, 0, replica, elapsed); });
 }
 
 void Pools::on_attempt_result(Time now, const AttemptResult& result) {
   now_ = now;
   const auto found = open_.find(result.id);
-  if (found == open_.end() || result.attempt >= found->second.hops.size()) return;
+  if (found == open_.end() || result.attempt >= found->second.attempts.size()) return;
   Exchange& x = found->second;
-  const Hop hop = x.hops[result.attempt];
-  if (result.attempt + 1u == x.hops.size()) x.out = false;
-  if (result.outcome == Outcome::full) hop.pool->bearing.refused(now);
-  if (result.outcome == Outcome::served) ++hop.pool->figures.served;
+  const Attempt ours = x.attempts[result.attempt];
+  if (result.attempt + 1u == x.attempts.size()) x.out = false;
+  if (result.outcome == Outcome::full) ours.pool->bearing.refused(now);
+  if (result.outcome == Outcome::served) ++ours.pool->figures.served;
   if (result.concluded || (x.over && !x.out)) open_.erase(found);
   AttemptResult told = result;
-  told.attempt = hop.attempt;
-  hop.pool->decider->on_attempt_result(now, told);
-  touch(*hop.pool);
+  told.attempt = ours.number;
+  ours.pool->decider->on_attempt_result(now, told);
+  touch(*ours.pool);
   told.id = kNobody, told.attempt = 0;
-  for_others(result.replica, hop.pool, [&](Pool& other) { other.decider->on_attempt_result(now, told); });
+  for_others(result.replica, ours.pool, [&](Pool& other) { other.decider->on_attempt_result(now, told); });
 }
 
 void Pools::on_client_gone(Time now, RequestId id) {
--- a/src/models/pools.hpp
+++ b/src/models/pools.hpp
@@ -2,7 +2,7 @@
 // which model serves a request, when another one takes its place, and one truth about a box that is in several pools.
 // The modules choose the box, the retry and the refusal; here it is decided whether a refusal is the last word.
 //
-// Over all models together: five hops at most, never two at once, nothing after the first event.
+// Over all models together: five attempts at most, never two at once, nothing after the first event.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -28,7 +28,7 @@
   std::uint64_t forbidden = 0;   // the client takes no other
   std::uint64_t no_budget = 0;   // too many went elsewhere lately
   std::uint64_t not_borne = 0;   // the other pool was cold, full, or has had its part
-  std::uint64_t no_time = 0, no_hops = 0;
+  std::uint64_t no_time = 0, no_attempts = 0;
   std::uint64_t placements = 0;  // changes of which box has which adapter
 };
 
@@ -67,9 +67,9 @@
  private:
   struct Pool;
   struct Base;
-  struct Hop {
+  struct Attempt {
     Pool* pool = nullptr;
-    std::uint8_t attempt = 0;  // as the pool's module counts
+    std::uint8_t number = 0;  // as the pool's module counts
     ReplicaId replica = 0;
   };
   struct Candidate {
@@ -80,7 +80,7 @@
   struct Exchange {
     Request request;
     Pool* pool = nullptr;          // that has it now
-    std::vector<Hop> hops;
+    std::vector<Attempt> attempts;
     std::deque<Candidate> next;
     std::vector<Number> tried;
     bool out = false, over = false;
--- a/src/net/flows.cpp
+++ b/src/net/flows.cpp
@@ -21,14 +21,14 @@
   bool own = false;  // of our enterprise number
 };
 
-// IANA's elements, then our own: ending, hops, class, tenant, prompt, made and kept tokens, target.
+// IANA's elements, then our own: ending, attempts, class, tenant, prompt, made and kept tokens, target.
 constexpr Field kFields[] = {
     {152, 8},              // flowStartMilliseconds
     {153, 8},              // flowEndMilliseconds
     {1, 8},                // octetDeltaCount: bytes of the answer's events
     {2, 8},                // packetDeltaCount: events
     {1, 1, true},          // ending
-    {2, 1, true},          // hops
+    {2, 1, true},          // attempts
     {3, 1, true},          // class
     {4, 2, true},          // tenant
     {5, 4, true},          // prompt tokens
@@ -70,7 +70,7 @@
   put(data_, tally.bytes, 8);
   put(data_, tally.events, 8);
   put(data_, static_cast<std::uint64_t>(tally.ending), 1);
-  put(data_, tally.hops, 1);
+  put(data_, tally.attempts, 1);
   put(data_, tally.request.cls, 1);
   put(data_, tally.request.tenant, 2);
   put(data_, std::min(tally.usage.prompt, k32), 4);
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -50,7 +50,7 @@
   return std::find(told.begin(), told.end(), false) == told.end() ? values : std::vector<float>{};
 }
 
-// One connection. It carries one hop (or probe) at a time.
+// One connection. It carries one attempt (or probe) at a time.
 class Servers::Line : public Mortal {
  public:
   Line(Servers& owner, const Route& route)
@@ -73,13 +73,13 @@
   Time idle_since() const { return idle_since_; }
   bool sent() const { return sent_; }  // the whole request is with the kernel
 
-  // Guards the next hop against an answer that is none of its own: what a target sends unasked, behind an
+  // Guards the next attempt against an answer that is none of its own: what a target sends unasked, behind an
   // answer or instead of its end, makes a connection useless.
   bool clean() const { return !stream_.readable_now(); }
 
-  void carry(core::HopId hop, std::shared_ptr<const core::Payload> payload, Time until, std::uint16_t model) {
-    job_ = Job::hop;
-    hop_ = hop;
+  void carry(core::AttemptId attempt, std::shared_ptr<const core::Payload> payload, Time until, std::uint16_t model) {
+    job_ = Job::attempt;
+    attempt_ = attempt;
     payload_ = std::move(payload);
     until_ = until;
     model_ = model;
@@ -92,7 +92,7 @@
     begin();
   }
 
-  // Closes at once: the target must not go on with a hop whose router starts another.
+  // Closes at once: the target must not go on with an attempt whose router starts another.
   void close() {
     if (std::exchange(left_, true)) return;
     job_ = Job::none;
@@ -108,10 +108,10 @@
   }
 
  private:
-  enum class Job { none, hop, probe };
+  enum class Job { none, attempt, probe };
 
   void begin() {
-    limit_.stop();  // the one of its idle time: it would close the connection under the hop
+    limit_.stop();  // the one of its idle time: it would close the connection under the attempt
     reader_ = MessageReader(MessageReader::Kind::answer);
     frames_ = {};
     events_ = owner_.core_ == nullptr ? nullptr : dialect_.reader();
@@ -132,7 +132,7 @@
       limit_.start(until_ - now_us(), [this] { finish(Outcome::timed_out, false); });
       return stream_.write("GET /stats HTTP/1.1\r\nHost: backend.local\r\n\r\n");
     }
-    if (!owner_.core_->still_wanted(hop_)) return;
+    if (!owner_.core_->still_wanted(attempt_)) return;
     // Guards against an attempt that begins when its time is over: its connection came up in the very round in which
     // the alarm rings. The connection is good.
     if (now_us() >= until_) return finish(Outcome::not_sent, true);
@@ -144,13 +144,13 @@
     const auto& call = static_cast<const fronts::Call&>(*payload_);
     try {
       const bool named = model_ != 0 && owner_.options_.model_name;
-      auto bytes = fronts::write_hop(call, dialect_, until_ - now_us(), named ? owner_.options_.model_name(model_) : "");
+      auto bytes = fronts::write_attempt(call, dialect_, until_ - now_us(), named ? owner_.options_.model_name(model_) : "");
       stream_.write(std::move(bytes.head));
       written_ = true;
       stream_.write(std::move(bytes.body));
       drained();
     } catch (const BadMessage& bad) {
-      of_this_hop(logging::info("servers")) << "a body cannot be said in the target's dialect: "
+      of_this_attempt(logging::info("servers")) << "a body cannot be said in the target's dialect: "
                                   << logging::field("reason", bad.what());
       return finish(Outcome::not_sent, true);
     }
@@ -169,7 +169,7 @@
       while (job_ != Job::none && !left_ && step()) {
       }
     });
-    if (job_ == Job::hop && !headed_) watch_head();
+    if (job_ == Job::attempt && !headed_) watch_head();
   }
 
   void reading(const std::function<void()>& read) {
@@ -180,11 +180,11 @@
     }
   }
 
-  // In JSON a line says which hop to which target it is about; its text is the same for all of them.
-  logging::Line& of_this_hop(logging::Line&& line) const {
+  // In JSON a line says which attempt to which target it is about; its text is the same for all of them.
+  logging::Line& of_this_attempt(logging::Line&& line) const {
     const Route* route = owner_.routes_.find(target_);
-    return line.with("exchange", hop_.exchange)
-        .with("hop", hop_.number + 1)
+    return line.with("exchange", attempt_.exchange)
+        .with("attempt", attempt_.number + 1)
         .with("target", route == nullptr ? std::string("one that has gone") : route->uid);
   }
 
@@ -192,7 +192,7 @@
   // connection broke. The connection is of no further use.
   void broken(const char* why) {
     ++owner_.counters_.spoilt;
-    of_this_hop(logging::warning("servers")) << "a target's answer is broken: " << logging::field("reason", why);
+    of_this_attempt(logging::warning("servers")) << "a target's answer is broken: " << logging::field("reason", why);
     finish(Outcome::reset, false);
   }
 
@@ -210,7 +210,7 @@
     const Head& head = reader_.head();
     if (const auto* load = head.find("X-Server-Load"))
       report_ = read_report(*load, owner_.options_.report_names);
-    if (job_ != Job::hop) return;
+    if (job_ != Job::attempt) return;
     headed_ = true;
     streaming_ = head.status == 200;
     watch_silence();
@@ -235,13 +235,13 @@
 
   void read_body(const std::string& bytes) {
     if (!streaming_) {
-      if (job_ == Job::hop) watch_silence();
+      if (job_ == Job::attempt) watch_silence();
       body_ += bytes;
       if (body_.size() > kMostAnswer) throw BadMessage(502, "answer too long");
       return;
     }
     frames_.feed(bytes);
-    while (job_ == Job::hop) {
+    while (job_ == Job::attempt) {
       auto frame = frames_.next();
       if (!frame) break;
       // Only what says something is a sign of life: blank lines can go on for ever.
@@ -259,7 +259,7 @@
       report_ =
           read_report(std::string_view(event.text).substr(kReport.size()), owner_.options_.report_names);
     }
-    owner_.core_->hop_event(hop_, event);
+    owner_.core_->attempt_event(attempt_, event);
   }
 
   void whole() {
@@ -267,7 +267,7 @@
     const bool keep = head.keeps_alive() && reader_.between_messages();
     if (streaming_) {
       if (std::string rest = frames_.rest(); !rest.empty()) pass(std::move(rest));
-      if (job_ == Job::hop) finish(Outcome::served, keep);
+      if (job_ == Job::attempt) finish(Outcome::served, keep);
     } else if (job_ == Job::probe) {
       if (head.status == 200 && report_.empty()) report_ = read_report(body_, owner_.options_.report_names);
       finish(head.status == 200 ? Outcome::served : Outcome::error, keep);
@@ -282,13 +282,13 @@
     finish(sent_ ? Outcome::reset : Outcome::connect_failed, false);
   }
 
-  // The line is free (or closed) before the core hears of the end: it may launch the next hop at once.
+  // The line is free (or closed) before the core hears of the end: it may launch the next attempt at once.
   void finish(Outcome outcome, bool keep) {
     const Job job = std::exchange(job_, Job::none);
     if (job == Job::none) return;
     limit_.stop();
     payload_.reset();
-    owner_.hops_.erase(hop_);
+    owner_.attempts_.erase(attempt_);
     const std::vector<float> report = std::exchange(report_, {});
     if (keep && stream_.open() && owner_.leads_there(*this)) {
       rest();
@@ -296,7 +296,7 @@
       close();
     }
     if (job == Job::probe) return owner_.core_->probed(target_, outcome == Outcome::served, report);
-    owner_.core_->hop_ended(hop_, outcome, report);
+    owner_.core_->attempt_ended(attempt_, outcome, report);
   }
 
   // Idle connections are closed clearly before the target would do it: what is written to one that the
@@ -321,7 +321,7 @@
   std::unique_ptr<fronts::EventReader> events_;
   Timer limit_;
   Job job_ = Job::none;
-  core::HopId hop_;
+  core::AttemptId attempt_;
   std::shared_ptr<const core::Payload> payload_;
   Time until_ = 0, idle_since_ = 0;
   std::uint16_t model_ = 0;
@@ -377,33 +377,33 @@
   return key;
 }
 
-void Servers::launch(core::HopId hop, ReplicaId target, std::shared_ptr<const core::Payload> payload,
+void Servers::launch(core::AttemptId attempt, ReplicaId target, std::shared_ptr<const core::Payload> payload,
                      Time until, std::uint16_t model) {
   const Route* route = routes_.find(target);
   if (route == nullptr || !route->address || !routes_.may_send(target)) {
-    return core_->hop_ended(hop, Outcome::not_sent);
+    return core_->attempt_ended(attempt, Outcome::not_sent);
   }
   const auto lacked = counters_.no_descriptor;
   Line* line = line_to(*route);
   const bool crowded = counters_.no_descriptor != lacked;
   // Guards against the ejection of a replica for what this router lacks.
-  if (line == nullptr) return core_->hop_ended(hop, crowded ? Outcome::not_sent : Outcome::connect_failed);
-  hops_[hop] = line;
-  line->carry(hop, std::move(payload), until, model);
+  if (line == nullptr) return core_->attempt_ended(attempt, crowded ? Outcome::not_sent : Outcome::connect_failed);
+  attempts_[attempt] = line;
+  line->carry(attempt, std::move(payload), until, model);
 }
 
-bool Servers::abandon(core::HopId hop) {
-  const auto found = hops_.find(hop);
-  if (found == hops_.end()) return false;
+bool Servers::abandon(core::AttemptId attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) return false;
   Line* line = found->second;
-  hops_.erase(found);
+  attempts_.erase(found);
   const bool sent = line->sent();
   line->close();
   return sent;
 }
 
-void Servers::hold(core::HopId hop, bool on) {
-  if (const auto found = hops_.find(hop); found != hops_.end()) found->second->hold(on);
+void Servers::hold(core::AttemptId attempt, bool on) {
+  if (const auto found = attempts_.find(attempt); found != attempts_.end()) found->second->hold(on);
 }
 
 void Servers::probe(ReplicaId target) {
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -1,4 +1,4 @@
-// The egress targets: a pool of connections for each, and the hops that go over them.
+// The egress targets: a pool of connections for each, and the attempts that go over them.
 #pragma once
 
 #include <list>
@@ -33,7 +33,7 @@
     const fronts::Dialect* dialect = nullptr;               // of targets that are not named below
     std::map<std::string, const fronts::Dialect*> by_name;  // uid -> dialect
     std::function<std::string(std::uint16_t)> model_name = {};  // by its number in the catalogue; empty: as asked
-    std::function<void()> sent = [] {};                         // the last byte of a hop was written
+    std::function<void()> sent = [] {};                         // the last byte of an attempt was written
   };
 
   Servers(Options options, const RouteTable& routes);
@@ -43,10 +43,10 @@
   // The list has changed: connections that wait for targets which are no longer ready are closed.
   void routes_changed();
 
-  void launch(core::HopId hop, ReplicaId target, std::shared_ptr<const core::Payload> payload,
+  void launch(core::AttemptId attempt, ReplicaId target, std::shared_ptr<const core::Payload> payload,
               Time until, std::uint16_t model) override;
-  bool abandon(core::HopId hop) override;
-  void hold(core::HopId hop, bool on) override;
+  bool abandon(core::AttemptId attempt) override;
+  void hold(core::AttemptId attempt, bool on) override;
   void probe(ReplicaId target) override;
 
   std::size_t connections() const { return lines_.size(); }
@@ -68,7 +68,7 @@
   ServerCounters counters_;
   std::map<Line*, std::unique_ptr<Line>> lines_;
   std::map<ReplicaId, std::vector<Line*>> idle_;  // the one used last is at the end, and is used next
-  std::map<core::HopId, Line*> hops_;
+  std::map<core::AttemptId, Line*> attempts_;
 };
 
 }  // namespace sprucecourse::net
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,7 +26,7 @@
 // In a word: what made the module choose this box, as far as it can be told from outside.
 const char* why_chosen(const core::Tally& tally) {
   const Belief& belief = tally.request.belief;
-  if (tally.hops > 1) return "after-a-failure";
+  if (tally.attempts > 1) return "after-a-failure";
   return belief.known && belief.replica == tally.last_target ? "kept-prompt" : "size";
 }
 
@@ -163,11 +163,11 @@
   if (const auto state = state_of(tally.ending)) figures_.ended(tally.request.cls, *state);
   const bool told = logging::threshold() <= logging::Level::debug;
   if (!flows_ && !told) return;
-  const net::Route* route = tally.hops == 0 ? nullptr : routes_.find(tally.last_target);
+  const net::Route* route = tally.attempts == 0 ? nullptr : routes_.find(tally.last_target);
   if (told && tally.ending == core::Ending::served) {
     using logging::field;
     const std::string target = route == nullptr ? "one that has gone" : route->uid;
-    logging::debug("exchange").with("exchange", tally.request.id).with("hop", tally.hops)
+    logging::debug("exchange").with("exchange", tally.request.id).with("attempt", tally.attempts)
         << "served by " << field("target", target) << ", prompt=" << field("prompt", tally.usage.prompt)
         << " kept=" << field("kept", tally.usage.kept)
         << " believed=" << field("believed", static_cast<std::uint64_t>(tally.request.belief.tokens))
--- a/src/node/operators.cpp
+++ b/src/node/operators.cpp
@@ -83,13 +83,13 @@
 
 void Node::print_counters(std::ostream& line) const {
   const auto& c = core_->counters();
-  line << "taken=" << c.taken << " open=" << core_->open() << " hops=" << c.hops << " served=" << c.served
+  line << "taken=" << c.taken << " open=" << core_->open() << " attempts=" << c.attempts << " served=" << c.served
        << " shed=" << c.shed << " failed=" << c.failed << " timed_out=" << c.timed_out
        << " broken=" << c.broken << " gone=" << c.gone;
   static constexpr const char* outcomes[] = {"served",         "error", "full",      "timed_out",
                                              "connect_failed", "reset", "cancelled", "not_sent"};
   for (const auto& [outcome, count] : c.outcomes) {
-    line << " hop_" << outcomes[static_cast<int>(outcome)] << "=" << count;
+    line << " attempt_" << outcomes[static_cast<int>(outcome)] << "=" << count;
   }
   for (const auto& front : fronts_) {
     const auto& f = front->counters();
@@ -126,7 +126,7 @@
   }
   line << " fallback_forbidden=" << f.forbidden << " fallback_no_budget=" << f.no_budget
        << " fallback_not_borne=" << f.not_borne << " fallback_no_time=" << f.no_time
-       << " fallback_no_hops=" << f.no_hops << " adapter_moves=" << f.placements;
+       << " fallback_no_attempts=" << f.no_attempts << " adapter_moves=" << f.placements;
 }
 
 }  // namespace sprucecourse
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -414,7 +414,7 @@
   bool may_send(Time now, const Pending& p, const Replica& r) const {
     const auto& c = settings_.classes[p.request.cls];
     if (r.listing.state != Listed::ready || now >= p.request.due) return false;
-    if (p.attempts.size() + p.request.hops_before >= settings_.max_attempts) return false;
+    if (p.attempts.size() + p.request.attempts_before >= settings_.max_attempts) return false;
     for (const auto& a : p.attempts) {
       if (a.outstanding && !settings_.second_copies) return false;
       if (!a.may_have_run || c.effect == Effect::safe) continue;
--- a/src/tracing/trace.cpp
+++ b/src/tracing/trace.cpp
@@ -36,14 +36,14 @@
   }
   void on_first_token(Time now, RequestId id, std::uint8_t attempt, ReplicaId box, Time elapsed) override {
     now_ = now;
-    say("first", " x=", id, " hop=", int(attempt), " box=", name_of_(box), " took=", elapsed);
+    say("first", " x=", id, " attempt=", int(attempt), " box=", name_of_(box), " took=", elapsed);
     Outer::on_first_token(now, id, attempt, box, elapsed);
   }
   void on_attempt_result(Time now, const AttemptResult& r) override {
     now_ = now;
     std::string report;
     for (const float value : r.report) report += fmt::format(" report={:g}", value);
-    say("result", " x=", r.id, " hop=", int(r.attempt), " box=", name_of_(r.replica), " outcome=",
+    say("result", " x=", r.id, " attempt=", int(r.attempt), " box=", name_of_(r.replica), " outcome=",
         kOutcomes[static_cast<int>(r.outcome)], " took=", r.elapsed, " concluded=", r.concluded, " prompt=",
         r.prompt_tokens, " kept=", r.kept_tokens, report);
     Outer::on_attempt_result(now, r);
@@ -86,7 +86,7 @@
       case ActionKind::send: return say("send", " x=", a.id, " box=", name_of_(a.replica));
       case ActionKind::refuse: return say("refuse", " x=", a.id, " back=", a.time);
       case ActionKind::fail: return say("fail", " x=", a.id, " back=", a.time);
-      case ActionKind::cancel: return say("cancel", " x=", a.id, " hop=", int(a.attempt));
+      case ActionKind::cancel: return say("cancel", " x=", a.id, " attempt=", int(a.attempt));
       case ActionKind::watch_directory: return say("watch");
       case ActionKind::fetch_directory: return say("fetch");
       case ActionKind::probe: return say("probe", " box=", name_of_(a.replica));
--- a/tests/fleet_counts_test.py
+++ b/tests/fleet_counts_test.py
@@ -9,10 +9,10 @@
 0.000 debug trace: entry at=1000000 box=s-1 state=ready started=0 zone=0 kind=0 weight=1
 0.100 debug trace: arrive at=1100000 x=1 class=0 member=0 prompt=10 prefix_tokens=0 max=5 work=9 session=1 prefix=0 repeat=0 resumed=0 believed=0 wait=900000
 0.100 debug trace: send at=1100000 x=1 box=s-1
-0.120 debug trace: result at=1120000 x=1 hop=0 box=s-1 outcome=connect_failed took=20000 concluded=0 prompt=0 kept=0
+0.120 debug trace: result at=1120000 x=1 attempt=0 box=s-1 outcome=connect_failed took=20000 concluded=0 prompt=0 kept=0
 0.120 debug trace: send at=1120000 x=1 box=s-2
-0.220 debug trace: first at=1220000 x=1 hop=1 box=s-2 took=100000
-0.320 debug trace: result at=1320000 x=1 hop=1 box=s-2 outcome=served took=200000 concluded=1 prompt=10 kept=4
+0.220 debug trace: first at=1220000 x=1 attempt=1 box=s-2 took=100000
+0.320 debug trace: result at=1320000 x=1 attempt=1 box=s-2 outcome=served took=200000 concluded=1 prompt=10 kept=4
 0.400 info main: n0 serves on 10.0.0.1:9000, 756 descriptors, 2 targets known
 0.400 debug trace: watch at=1400000
 0.450 debug trace: list at=1450000 scope=failed entries=0
--- a/tests/models/pools.cpp
+++ b/tests/models/pools.cpp
@@ -98,8 +98,8 @@
   for (int i = 0; i < 40; ++i) world.ask(request(i % 2 == 0 ? 1 : 2)), world.run(10'000);
   world.run(1'000'000);
   for (const auto& a : world.answers) CHECK(a.served);
-  CHECK(world.boxes[0].hops + world.boxes[1].hops == 20);
-  CHECK(world.boxes[2].hops + world.boxes[3].hops == 20);
+  CHECK(world.boxes[0].attempts + world.boxes[1].attempts == 20);
+  CHECK(world.boxes[2].attempts + world.boxes[3].attempts == 20);
   CHECK(world.answers[0].model == 1);
   CHECK(world.pools->open() == 0);
 }
@@ -157,7 +157,7 @@
   CHECK(world.answers[longest].refused->refused == Allowance::Refused::too_long);
 }
 
-TEST_CASE("no more than five hops over all models, never two at once, whatever fails") {
+TEST_CASE("no more than five attempts over all models, never two at once, whatever fails") {
   Catalogue c = two_models();
   c.models.push_back(model("tiny", {"T"}));
   c.models[1].fallbacks = {{"tiny", kAlways, 0, 1}};
@@ -185,7 +185,7 @@
 TEST_CASE("a fallback does not push a cold box over") {
   for (const std::uint64_t seed : {1u, 2u, 3u}) {
     World world(settings(), two_models(), {}, nullptr, seed);
-    world.prompt_of_ = [](core::HopId) { return 100.0; };
+    world.prompt_of_ = [](core::AttemptId) { return 100.0; };
     for (int i = 0; i < 4; ++i) world.add_box("l-" + std::to_string(i), "L");
     for (int i = 0; i < 4; ++i) world.add_box("s-" + std::to_string(i), "S");
     world.start();
@@ -256,16 +256,16 @@
   world.start();
   // Thirty requests for "a" are out at x. Those for "b" see a busy owner there, and step aside.
   for (int i = 0; i < 30; ++i) world.ask(request(1));
-  const auto at_x = world.boxes[0].hops;
+  const auto at_x = world.boxes[0].attempts;
   for (int i = 0; i < 20; ++i) world.ask(request(2));
   CHECK(at_x == 30);
-  CHECK(world.boxes[1].hops >= 18);
+  CHECK(world.boxes[1].attempts >= 18);
   // And when those are done it is as good as the other one.
   world.run(10'000'000);
-  const auto before = world.boxes[0].hops;
+  const auto before = world.boxes[0].attempts;
   world.answer_time = 10'000;
   for (int i = 0; i < 60; ++i) world.ask(request(2, 50 + 7 * (i % 30))), world.run(20'000);
-  CHECK(world.boxes[0].hops - before > 15);
+  CHECK(world.boxes[0].attempts - before > 15);
 }
 
 TEST_CASE("an adapter's requests go to boxes that have it, more of them as it is wanted, and loading is cold time") {
@@ -280,24 +280,24 @@
   const auto first = world.pools->boxes_of(2);
   CHECK(first.size() == 2);
   CHECK(world.pools->boxes_of(1).size() == 8);
-  const auto hops_at = [&](const std::vector<ReplicaId>& boxes) {
+  const auto attempts_at = [&](const std::vector<ReplicaId>& boxes) {
     std::uint64_t sum = 0;
-    for (const ReplicaId id : boxes) sum += world.boxes[id - 1].hops;
+    for (const ReplicaId id : boxes) sum += world.boxes[id - 1].attempts;
     return sum;
   };
   for (int i = 0; i < 40; ++i) world.ask(request(2, 50 + 7 * (i % 30))), world.run(10'000);
-  CHECK(hops_at(first) == 40);
+  CHECK(attempts_at(first) == 40);
   CHECK(world.answers.front().model == 2);
   // Nothing else is asked for: it gets as many boxes as it may have, and the two new ones have to load it.
   for (int i = 0; i < 100; ++i) world.ask(request(2, 50 + 7 * (i % 30))), world.run(10'000);
   CHECK(world.pools->boxes_of(2).size() == 4);
-  const auto old_share = hops_at(first), all = hops_at(world.pools->boxes_of(2));
+  const auto old_share = attempts_at(first), all = attempts_at(world.pools->boxes_of(2));
   CHECK(all == 140);
   CHECK(all - old_share < 20);
   for (int i = 0; i < 1000; ++i) world.ask(request(2, 50 + 7 * (i % 30))), world.run(10'000);
-  const auto before = hops_at(first);
+  const auto before = attempts_at(first);
   for (int i = 0; i < 200; ++i) world.ask(request(2, 50 + 7 * (i % 30))), world.run(10'000);
-  CHECK(hops_at(first) - before < 150);
+  CHECK(attempts_at(first) - before < 150);
   world.run(6'000'000);
   std::size_t served = 0;
   for (const auto& a : world.answers) {
@@ -307,7 +307,7 @@
   CHECK(served == world.answers.size());
 }
 
-TEST_CASE("a member who runs out while a retry is pending: the retry is refused, the hops that ran are charged") {
+TEST_CASE("a member who runs out while a retry is pending: the retry is refused, the attempts that ran are charged") {
   // Enough for one try at the most, not for a second after the first was charged its prompt.
   World world(settings(), two_models(), budgets_of({daily("day", 420)}), nullptr, 1);
   for (int i = 0; i < 3; ++i) world.add_box("l-" + std::to_string(i), "L");
@@ -317,7 +317,7 @@
   world.run(6'000'000);
   REQUIRE(world.answers[place].refused);
   CHECK(world.answers[place].refused->refused == Allowance::Refused::over);
-  CHECK(world.boxes[0].hops + world.boxes[1].hops + world.boxes[2].hops == 1);
+  CHECK(world.boxes[0].attempts + world.boxes[1].attempts + world.boxes[2].attempts == 1);
   CHECK(world.charged == 100 * budgets::kUnitsPerToken);
   CHECK(world.charged == world.tallies());
   CHECK(world.treasury->accounts.standing({0, 1, 0}, world.clock()).left == 320 * budgets::kUnitsPerToken);
@@ -361,7 +361,7 @@
   budgets::Options options = budgets_of({daily("day", 20'000'000)});
   World world(settings(), two_models(), options, &journal, 9);
   for (int i = 0; i < 8; ++i) world.add_box("b-" + std::to_string(i), i % 2 == 0 ? "L" : "S");
-  world.prompt_of_ = [&](core::HopId id) { return 50.0 + static_cast<double>(id.exchange % 200); };
+  world.prompt_of_ = [&](core::AttemptId id) { return 50.0 + static_cast<double>(id.exchange % 200); };
   world.faults = {.full = 60, .refused = 30, .error = 30, .reset = 30, .broken = 40, .silent = 5, .gone = 40};
   world.start();
   const budgets::Units block = 20'000'000 * budgets::kUnitsPerToken / 50;
@@ -391,7 +391,7 @@
   CHECK(kills == 14);
   CHECK(world.open() == 0);
   CHECK(world.charged + world.open_at_kill == world.tallies());
-  for (const auto& [hop, times] : world.charges) CHECK(times == 1);
+  for (const auto& [attempt, times] : world.charges) CHECK(times == 1);
 }
 
 TEST_CASE("after 100,000 mixed requests with faults, charges equal the boxes' own tallies token for token") {
@@ -399,7 +399,7 @@
   everyone.member = budgets::kAny;
   World world(settings(), two_models(), budgets_of({daily("day", 1'000'000'000), everyone}), nullptr, 7);
   for (int i = 0; i < 8; ++i) world.add_box("b-" + std::to_string(i), i % 2 == 0 ? "L" : "S");
-  world.prompt_of_ = [&](core::HopId id) { return 50.0 + static_cast<double>(id.exchange % 200); };
+  world.prompt_of_ = [&](core::AttemptId id) { return 50.0 + static_cast<double>(id.exchange % 200); };
   world.faults = {.full = 60, .refused = 30, .error = 30, .reset = 30, .broken = 40, .silent = 5, .gone = 40};
   world.start();
   std::uint64_t next = 0;
@@ -416,7 +416,7 @@
   CHECK(world.too_many == 0);
   CHECK(world.charged == world.tallies());
   for (const auto& box : world.boxes) CHECK(world.charged_at[box.listing.id] == box.tally);
-  for (const auto& [hop, times] : world.charges) CHECK(times == 1);
+  for (const auto& [attempt, times] : world.charges) CHECK(times == 1);
   // And the accounts say the same: each member's own, and together.
   budgets::Units used = 0;
   for (const auto& line : world.treasury->accounts.lines(world.clock())) {
--- a/tests/models/world.hpp
+++ b/tests/models/world.hpp
@@ -18,7 +18,7 @@
 
 using budgets::Units;
 
-// How often, of 1,000 hops, each thing happens; what is left is served.
+// How often, of 1,000 attempts, each thing happens; what is left is served.
 struct Faults {
   int full = 0, refused = 0, error = 0, reset = 0, broken = 0, silent = 0;
   int gone = 0;  // of 1,000 requests, whose client goes
@@ -30,7 +30,7 @@
     models::BoxNames names;
     ReplicaListing listing;
     Units tally = 0;           // thousandths, by its own count and the stated rule
-    std::uint64_t hops = 0;
+    std::uint64_t attempts = 0;
     std::vector<std::pair<Time, double>> sent;  // work, by when
     std::optional<Faults> faults;  // of its own
   };
@@ -60,7 +60,7 @@
     treasury->on_charge = [this](const budgets::Charge& c) {
       charged += c.units;
       charged_at[c.replica] += c.units;
-      ++charges[{incarnation_, c.exchange, c.hop}];
+      ++charges[{incarnation_, c.exchange, c.attempt}];
     };
     for (const auto& [key, state] : kept) treasury->accounts.restore(key, state);
     models::Pools::Options options;
@@ -78,7 +78,7 @@
 
   // As by SIGKILL: what was out is known to nobody but its boxes.
   void kill() {
-    for (const auto& [id, hop] : out_) open_at_kill += hop.tally;
+    for (const auto& [id, attempt] : out_) open_at_kill += attempt.tally;
     out_.clear();
     replies_.clear();
     ++incarnation_;
@@ -105,7 +105,7 @@
     std::optional<Allowance> refused;
     Time come_back = 0;
     std::uint16_t model = 0;
-    unsigned hops = 0;
+    unsigned attempts = 0;
     std::size_t events = 0;
   };
 
@@ -173,7 +173,7 @@
     World& world;
     std::size_t place;
   };
-  struct Hop {
+  struct Attempt {
     ReplicaId box = 0;
     std::uint16_t model = 0;
     Units tally = 0;  // what its box has counted of it so far
@@ -195,28 +195,28 @@
   void fetch() override {}
   void tell(std::uint32_t, const std::string&) override {}
   void probe(ReplicaId) override {}
-  void hold(core::HopId, bool) override {}
+  void hold(core::AttemptId, bool) override {}
 
-  // What its box has counted of a hop so far: the rule for those without a tally.
-  void count(core::HopId id, Units units) {
-    Hop& hop = out_.at(id);
-    boxes[hop.box - 1].tally += units - hop.tally;
-    hop.tally = units;
+  // What its box has counted of an attempt so far: the rule for those without a tally.
+  void count(core::AttemptId id, Units units) {
+    Attempt& attempt = out_.at(id);
+    boxes[attempt.box - 1].tally += units - attempt.tally;
+    attempt.tally = units;
   }
   budgets::Price price_of(std::uint16_t model) const { return treasury->price_of(model); }
 
-  void launch(core::HopId id, ReplicaId target, std::shared_ptr<const core::Payload>, Time, std::uint16_t model) override {
-    for (const auto& [other, hop] : out_) twice += other.exchange == id.exchange ? 1 : 0;
+  void launch(core::AttemptId id, ReplicaId target, std::shared_ptr<const core::Payload>, Time, std::uint16_t model) override {
+    for (const auto& [other, attempt] : out_) twice += other.exchange == id.exchange ? 1 : 0;
     too_many += id.number >= 5 ? 1 : 0;
     Box& box = boxes.at(target - 1);
-    ++box.hops;
+    ++box.attempts;
     out_[id] = {target, model, 0, 0, 0};
     const int fate = draw(1000);
     const Faults& f = box.faults ? *box.faults : faults;
-    const auto ends = [this](core::HopId its, Outcome outcome) {
+    const auto ends = [this](core::AttemptId its, Outcome outcome) {
       if (!out_.contains(its)) return;
       out_.erase(its);
-      core_->hop_ended(its, outcome);
+      core_->attempt_ended(its, outcome);
     };
     int sum = 0;
     const auto is = [&](int part) { return fate < (sum += part); };
@@ -244,13 +244,13 @@
       const int letters = 1 + draw(40);
       at(now_ + gap * (i + 1), [=, this] {
         if (!out_.contains(id)) return;
-        Hop& hop = out_.at(id);
-        hop.letters += static_cast<std::uint64_t>(letters);
-        count(id, budgets::cost_of(static_cast<std::uint64_t>(hop.prompt), 0, (hop.letters + 3) / 4, price_of(hop.model)));
+        Attempt& attempt = out_.at(id);
+        attempt.letters += static_cast<std::uint64_t>(letters);
+        count(id, budgets::cost_of(static_cast<std::uint64_t>(attempt.prompt), 0, (attempt.letters + 3) / 4, price_of(attempt.model)));
         core::StreamEvent event;
         event.kind = core::EventKind::delta;
         event.text.assign(static_cast<std::size_t>(letters), 'x');
-        core_->hop_event(id, event);
+        core_->attempt_event(id, event);
       });
     }
     const std::uint64_t real = static_cast<std::uint64_t>(prompt) + static_cast<std::uint64_t>(draw(5));
@@ -263,16 +263,16 @@
       usage.kind = core::EventKind::usage, usage.usage = {real, made, kept};
       end.kind = core::EventKind::end;
       count(id, budgets::cost_of(real, kept, made, price_of(out_.at(id).model)));
-      core_->hop_event(id, usage);
+      core_->attempt_event(id, usage);
       if (!out_.contains(id)) return;
-      core_->hop_event(id, end);
+      core_->attempt_event(id, end);
       ends(id, Outcome::served);
     });
   }
-  bool abandon(core::HopId id) override { return out_.erase(id) > 0; }
+  bool abandon(core::AttemptId id) override { return out_.erase(id) > 0; }
 
  public:
-  std::function<double(core::HopId)> prompt_of_;  // prompt tokens of a hop's request
+  std::function<double(core::AttemptId)> prompt_of_;  // prompt tokens of an attempt's request
   std::size_t place_of(RequestId id) const { return place_of_.at({incarnation_, id}); }
 
  private:
@@ -282,7 +282,7 @@
   budgets::Journal* journal_;
   boost::random::mt19937_64 dice_;
   std::multimap<Time, std::function<void()>> agenda_;
-  std::map<core::HopId, Hop> out_;
+  std::map<core::AttemptId, Attempt> out_;
   std::vector<std::unique_ptr<Reply>> replies_;
   std::map<std::pair<int, RequestId>, std::size_t> place_of_;
   std::unique_ptr<core::Exchanges> core_;
--- a/tests/net/core.cpp
+++ b/tests/net/core.cpp
@@ -19,13 +19,13 @@
 
   Time now() const override { return time; }
   void wake_at(Time when) override { wake = when; }
-  void launch(HopId hop, ReplicaId, std::shared_ptr<const Payload>, Time, std::uint16_t) override {
+  void launch(AttemptId attempt, ReplicaId, std::shared_ptr<const Payload>, Time, std::uint16_t) override {
     CHECK(out.empty());  // never two at once
-    out.push_back(hop);
+    out.push_back(attempt);
     ++launched;
   }
-  bool abandon(HopId hop) override { return std::erase(out, hop) > 0 && written; }
-  void hold(HopId, bool) override {}
+  bool abandon(AttemptId attempt) override { return std::erase(out, attempt) > 0 && written; }
+  void hold(AttemptId, bool) override {}
   void probe(ReplicaId) override {}
   void watch() override {}
   void fetch() override {}
@@ -58,7 +58,7 @@
   Settings settings;
   bool there = true, written = true;
   Time time = 1'000'000'000, wake = kNever, come_back = 0;
-  std::vector<HopId> out;
+  std::vector<AttemptId> out;
   int launched = 0, whole = 0, broken = 0, refused = 0, failed = 0;
   std::string events;
 };
@@ -84,7 +84,7 @@
   CHECK(core.open() == 0);
 }
 
-TEST_CASE("a silent hop is closed at the deadline, before the one final answer") {
+TEST_CASE("a silent attempt is closed at the deadline, before the one final answer") {
   World world;
   Exchanges core(world.settings, {world, world, world, world});
   world.list(core, 3);
@@ -95,40 +95,40 @@
   CHECK(world.answers() == 1);
 }
 
-TEST_CASE("hops that fail follow one another, as many as the settings allow, and end in one answer") {
+TEST_CASE("attempts that fail follow one another, as many as the settings allow, and end in one answer") {
   World world;
   Exchanges core(world.settings, {world, world, world, world});
   world.list(core, 20);
   world.ask(core);
   while (!world.out.empty()) {
-    const HopId hop = world.out.back();
+    const AttemptId attempt = world.out.back();
     world.out.clear();
-    core.hop_ended(hop, Outcome::connect_failed);
-    core.hop_ended(hop, Outcome::connect_failed);  // a second end of a hop is no news
+    core.attempt_ended(attempt, Outcome::connect_failed);
+    core.attempt_ended(attempt, Outcome::connect_failed);  // a second end of an attempt is no news
   }
   CHECK(world.launched > 1);
   CHECK(world.launched <= static_cast<int>(world.settings.max_attempts));
   CHECK(world.answers() == 1);
 }
 
-TEST_CASE("after the first event there is no deadline and no other hop") {
+TEST_CASE("after the first event there is no deadline and no other attempt") {
   World world;
   Exchanges core(world.settings, {world, world, world, world});
   world.list(core, 3);
   world.ask(core);
-  const HopId hop = world.out.back();
-  core.hop_event(hop, delta("one"));
+  const AttemptId attempt = world.out.back();
+  core.attempt_event(attempt, delta("one"));
   world.advance_to(core, world.time + 60'000'000);
   CHECK(world.answers() == 0);
-  core.hop_ended(hop, Outcome::reset);
+  core.attempt_ended(attempt, Outcome::reset);
   CHECK(world.broken == 1);
   CHECK(world.launched == 1);
-  core.hop_event(hop, delta("two"));
+  core.attempt_event(attempt, delta("two"));
   CHECK(world.events == "one");
   CHECK(world.answers() == 1);
 }
 
-TEST_CASE("a client that goes takes its hop along and gets no answer") {
+TEST_CASE("a client that goes takes its attempt along and gets no answer") {
   World world;
   Exchanges core(world.settings, {world, world, world, world});
   world.list(core, 3);
@@ -151,7 +151,7 @@
   for (int i = 0; i < 200; ++i) {
     const auto id = world.ask(core);
     if (world.out.empty()) continue;
-    core.hop_event(world.out.back(), delta("one"));
+    core.attempt_event(world.out.back(), delta("one"));
     core.client_gone(id);
   }
   // 3 x 0.46 x 5 x 2, as of a window ago; there is one router, and all of it is its part.
@@ -164,28 +164,28 @@
 TEST_CASE("nothing is sent for a client whose end nobody has read yet") {
   World world;
   Exchanges core(world.settings, {world, world, world, world});
-  SECTION("before the first hop") {
+  SECTION("before the first attempt") {
     world.ask(core);  // waits: there is no list
     world.there = false;
     world.list(core, 3);
     world.advance_to(core, world.time + 6'000'000);
     CHECK(world.launched == 0);
   }
-  SECTION("between two hops") {
+  SECTION("between two attempts") {
     world.list(core, 3);
     world.ask(core);
     world.there = false;
-    const HopId hop = std::exchange(world.out, {}).back();
-    core.hop_ended(hop, Outcome::connect_failed);
+    const AttemptId attempt = std::exchange(world.out, {}).back();
+    core.attempt_ended(attempt, Outcome::connect_failed);
     CHECK(world.launched == 1);
   }
-  SECTION("while a hop's connection comes up") {
+  SECTION("while an attempt's connection comes up") {
     world.list(core, 3);
     world.ask(core);
-    const HopId hop = world.out.back();
-    CHECK(core.still_wanted(hop));
+    const AttemptId attempt = world.out.back();
+    CHECK(core.still_wanted(attempt));
     world.there = false;
-    CHECK_FALSE(core.still_wanted(hop));
+    CHECK_FALSE(core.still_wanted(attempt));
     CHECK(world.out.empty());
   }
   CHECK(core.open() == 0);
@@ -236,8 +236,8 @@
     if (i % 2 == 0) {
       core.client_gone(id);
     } else {
-      core.hop_event(world.out.back(), delta("one"));
-      core.hop_ended(world.out.back(), Outcome::reset);
+      core.attempt_event(world.out.back(), delta("one"));
+      core.attempt_ended(world.out.back(), Outcome::reset);
     }
   }
   world.advance_to(core, world.time + 10'000'000);  // past the module's own timers
--- a/tests/net/deployments.cpp
+++ b/tests/net/deployments.cpp
@@ -12,7 +12,7 @@
     list send $json({"rev":2,"all":false,"targets":[{"uid":"s-01","state":"DRAINING"}]})
     list expect GET /registry/instances?after=2&wait_ms=1000 HTTP/1.1\r\n
     client1 send $ask(r1)
-    hop1 expect r1
+    attempt1 expect r1
     # In pieces, of an older version, broken, silent: the last list stays in use.
     list send HTTP/1.1 200 OK\r\nContent-Le
     list send ngth: 37\r\n\r\n{"rev":1,"all":true,
@@ -25,7 +25,7 @@
     list4 send $json({"rev":3,"all":false,"targets":[{"uid":"s-02","state":"DELETED"}]})
     list4 expect after=3
     router expect list_failures=3
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
   )");
 }
@@ -34,13 +34,13 @@
   Play play({.boxes = 8, .settings = "policyLimits.maxAttempts=6\n"});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $error
-    hop2 send $error
-    hop3 send $error
-    hop4 send $error
-    hop5 send $error
-    hop6 send $stream$delta(one)$done
+    attempt1 send $error
+    attempt2 send $error
+    attempt3 send $error
+    attempt4 send $error
+    attempt5 send $error
+    attempt6 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
-    router expect hops=6
+    router expect attempts=6
   )");
 }
--- a/tests/net/dialects.cpp
+++ b/tests/net/dialects.cpp
@@ -89,16 +89,16 @@
   Play play({.box_dialect = box});
   const bool platform_client = client == "client";
   play.run(client + " send " + (platform_client ? "$ask(r1)" : "$say(r1)"));
-  play.run(box == "platform" ? "hop1 expect POST /v1/chat/completions " : "hop1 expect POST /v1/messages ");
-  play.run("hop1 expect X-Request-ID: r1\\r\\n\nhop1 expect \"max_tokens\":50\nhop1 send $stream");
+  play.run(box == "platform" ? "attempt1 expect POST /v1/chat/completions " : "attempt1 expect POST /v1/messages ");
+  play.run("attempt1 expect X-Request-ID: r1\\r\\n\nattempt1 expect \"max_tokens\":50\nattempt1 send $stream");
   const std::string stream = recorded(box);
   for (std::size_t at = 0; at < stream.size(); at += piece) {
     std::ostringstream chunk;
     const std::string part = stream.substr(at, piece);
     chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
-    play.send("hop1", chunk.str());
+    play.send("attempt1", chunk.str());
   }
-  play.run("hop1 send 0\\r\\n\\r\\n\n" + client + " expect \\r\\n0\\r\\n\\r\\n\nrouter expect served=1");
+  play.run("attempt1 send 0\\r\\n\\r\\n\n" + client + " expect \\r\\n0\\r\\n\\r\\n\nrouter expect served=1");
   const std::string got = unchunk(play.received(client));
   const bool same = platform_client == (box == "platform");
   if (same) CHECK(got == stream);  // byte for byte
@@ -111,8 +111,8 @@
   Play play({.box_dialect = "platform"});
   play.run(R"(
     writer1 send $say(r1)
-    hop1 expect "messages":[{"role":"system","content":"be brief"},{"role":"user","content":"hi"}]
-    hop1 send $stream$delta(one)$done
+    attempt1 expect "messages":[{"role":"system","content":"be brief"},{"role":"user","content":"hi"}]
+    attempt1 send $stream$delta(one)$done
     writer1 expect event: message_start
     writer1 expect event: content_block_start
     writer1 expect "text":"one"
@@ -127,46 +127,46 @@
   Play play({.box_dialect = "messages"});
   play.run(R"(
     writer1 send $say(r1)
-    hop1 send $full
+    attempt1 send $full
     writer1 expect HTTP/1.1 529 Overloaded\r\n
     writer1 expect Retry-After: 
     writer1 expect {"type":"error","error":{"type":"overloaded_error"
     writer1 send $say(r2,150)
-    hop2 expect X-Request-ID: r2\r\n
+    attempt2 expect X-Request-ID: r2\r\n
     writer1 expect HTTP/1.1 529 
     writer1 expect Retry-After: 
     writer1 send POST /v1/messages HTTP/1.1\r\nX-Request-ID: r3\r\n\r\n
     writer1 expect HTTP/1.1 400 
     writer1 expect {"type":"error","error":{"type":"invalid_request_error"
     client1 send $ask(r4)
-    hop3 send HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n
+    attempt3 send HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n
     client1 expect {"error":{"type":"overloaded"
-    router expect hop_full=2
+    router expect attempt_full=2
   )");
 }
 
-TEST_CASE("an error event after partial output reaches the client; no clean end, no other hop") {
+TEST_CASE("an error event after partial output reaches the client; no clean end, no other attempt") {
   const std::string client = GENERATE("client", "writer");
   Play play({.boxes = 2, .box_dialect = "messages"});
   play.run(client + " send " + (client == "client" ? "$ask(r1)" : "$say(r1)") + R"(
-    hop1 send $stream$event(message_start,,"message":{"usage":{"input_tokens":1}})
-    hop1 send $event(content_block_delta,,"index":0,"delta":{"type":"text_delta","text":"one"})
-    hop1 send $event(error,,"error":{"type":"api_error","message":"it fell over"})0\r\n\r\n
+    attempt1 send $stream$event(message_start,,"message":{"usage":{"input_tokens":1}})
+    attempt1 send $event(content_block_delta,,"index":0,"delta":{"type":"text_delta","text":"one"})
+    attempt1 send $event(error,,"error":{"type":"api_error","message":"it fell over"})0\r\n\r\n
   )");
   play.run(client + " expect one\n" + client + " expect it fell over\n" + client +
            " expect \"}}\\n\\n\\r\\n\n" + client +
-           " expect close\nrouter expect broken=1\nrouter expect hops=1\nrouter expect hop_error=1");
+           " expect close\nrouter expect broken=1\nrouter expect attempts=1\nrouter expect attempt_error=1");
 }
 
-TEST_CASE("an error event before any output leads to another hop") {
+TEST_CASE("an error event before any output leads to another attempt") {
   Play play({.boxes = 2, .box_dialect = "messages"});
   play.run(R"(
     writer1 send $say(r1)
-    hop1 send $stream$event(error,,"error":{"type":"overloaded_error","message":"busy"})0\r\n\r\n
-    hop2 send $stream$event(message_start,,"message":{"usage":{}})$event(message_stop)0\r\n\r\n
+    attempt1 send $stream$event(error,,"error":{"type":"overloaded_error","message":"busy"})0\r\n\r\n
+    attempt2 send $stream$event(message_start,,"message":{"usage":{}})$event(message_stop)0\r\n\r\n
     writer1 expect event: message_stop
     writer1 expect \r\n0\r\n\r\n
-    router expect hop_error=1
+    router expect attempt_error=1
   )");
 }
 
@@ -175,7 +175,7 @@
   Play play({.box_dialect = "messages"});
   play.run(R"(
     writer1 send $say(r1)
-    hop1 send $stream$event(message_start,,"message":{"usage":{}}))" +
+    attempt1 send $stream$event(message_start,,"message":{"usage":{}}))" +
            terminal + R"($event(farewell)0\r\n\r\n
     writer1 expect event: farewell\ndata: {"type":"farewell"}\n\n\r\n
   )");
@@ -187,10 +187,10 @@
   Play play({.box_dialect = "messages"});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$event(message_start,,"message":{"usage":{}})$event(novelty)$event(ping)
+    attempt1 send $stream$event(message_start,,"message":{"usage":{}})$event(novelty)$event(ping)
     client1 expect "role":"assistant"
     client1 expect \r\n8\r\n: ping\n\n\r\n
-    hop1 send $event(novelty)0\r\n\r\n
+    attempt1 send $event(novelty)0\r\n\r\n
     client1 expect close
     router expect broken=1
   )");
--- a/tests/net/door.cpp
+++ b/tests/net/door.cpp
@@ -57,21 +57,21 @@
   Play play({.boxes = 2, .ops = "127.0.0.1:0"});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect r1
+    attempt1 expect r1
     call1 send DUMP\n
     call1 expect svc_sends_total 1\n
     call1 expect svc_current 1\n
-    hop1 send $error
-    hop2 send $stream$delta(one)$done
+    attempt1 send $error
+    attempt2 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client1 send $ask(r2)
-    hop3 send $stream$delta(one)
+    attempt3 send $stream$delta(one)
     client1 expect $delta(one)
-    hop3 close
+    attempt3 close
     client1 expect close
     # Gone before its answer: not counted under any state.
     client2 send $ask(r3)
-    hop4 expect r3
+    attempt4 expect r3
     client2 close
     router expect gone=1
     # Cannot be read, or of no known class: no request of any class.
@@ -90,7 +90,7 @@
   Play play(kDoor);
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)
+    attempt1 send $stream$delta(one)
     client1 expect one
     client2 send GET /health/ready HTTP/1.1\r\n\r\n
     client2 expect HTTP/1.1 200 OK\r\n
@@ -103,7 +103,7 @@
     client2 expect Connection: close\r\n
     # New clients still come for a moment; their answers close.
     client3 send $ask(r2)
-    hop2 send $stream$delta(two)$done
+    attempt2 send $stream$delta(two)$done
     client3 expect Connection: close\r\n
     client3 expect \r\n0\r\n\r\n
     client3 expect close
@@ -118,7 +118,7 @@
     call3 send HEALTH\n
     call3 expect +OK drained\n
     # The long stream that was open goes on to its end, and its connection closes with it.
-    hop1 send $delta(more)$done
+    attempt1 send $delta(more)$done
     client1 expect more
     client1 expect \r\n0\r\n\r\n
     call4 send JOIN\n
@@ -126,7 +126,7 @@
     client7 send GET /health/ready HTTP/1.1\r\n\r\n
     client7 expect HTTP/1.1 200 OK\r\n
     client7 send $ask(r4)
-    hop3 send $stream$delta(three)$done
+    attempt3 send $stream$delta(three)$done
     client7 expect Connection: keep-alive\r\n
     client7 expect \r\n0\r\n\r\n
     call5 send DUMP\n
@@ -158,20 +158,20 @@
       list send $json({"rev":2,"all":false,"targets":[{"uid":"s-03","state":"DRAINING"}]})
       list expect after=2
       client1 send $ask(r1)
-      hop1 expect POST /v1/chat/completions HTTP/1.1\r\n
-      hop1 send $full
-      hop2 expect {"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]}
-      hop2 send $stream$delta(one)
+      attempt1 expect POST /v1/chat/completions HTTP/1.1\r\n
+      attempt1 send $full
+      attempt2 expect {"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]}
+      attempt2 send $stream$delta(one)
       client1 expect HTTP/1.1 200 OK\r\n
       client1 expect $delta(one)
-      hop2 send $delta(two)$done
+      attempt2 send $delta(two)$done
       client1 expect $delta(two)
       client1 expect data: [DONE]\n\n
       client1 expect \r\n0\r\n\r\n
       writer1 send $say(r2)
-      hop3 expect X-Request-ID: r2\r\n
-      hop3 send $error
-      hop4 send $stream$delta(three)$done
+      attempt3 expect X-Request-ID: r2\r\n
+      attempt3 send $error
+      attempt4 send $stream$delta(three)$done
       writer1 expect message_start
       writer1 expect three
       writer1 expect message_stop
--- a/tests/net/flows.cpp
+++ b/tests/net/flows.cpp
@@ -100,10 +100,10 @@
   Play play({.flow_collector = collector.address()});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client1 send $ask(r2)
-    hop2 send $full
+    attempt2 send $full
     client1 expect HTTP/1.1 503 
   )");
   const auto records = collector.read();
--- a/tests/net/handover.cpp
+++ b/tests/net/handover.cpp
@@ -87,11 +87,11 @@
     getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &size);
     port = ntohs(own.sin_port);
   }
-  ~Box() { close(hop_), close(listener_); }
+  ~Box() { close(attempt_), close(listener_); }
   void begin() {
-    hop_ = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    attempt_ = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     std::array<char, 4096> request;
-    REQUIRE(read(hop_, request.data(), request.size()) > 0);
+    REQUIRE(read(attempt_, request.data(), request.size()) > 0);
     say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
         http::write_chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"begins\"},\"finish_reason\":null}]}\n\n"));
   }
@@ -99,8 +99,8 @@
   int port = 0;
 
  private:
-  void say(const std::string& text) { REQUIRE(write(hop_, text.data(), text.size()) == static_cast<ssize_t>(text.size())); }
-  int listener_, hop_ = -1;
+  void say(const std::string& text) { REQUIRE(write(attempt_, text.data(), text.size()) == static_cast<ssize_t>(text.size())); }
+  int listener_, attempt_ = -1;
 };
 
 std::string ask() {
--- a/tests/net/models.cpp
+++ b/tests/net/models.cpp
@@ -59,15 +59,15 @@
   Play play(two());
   play.send("client1", ask("r1", "latest"));
   play.run(R"(
-    hop1 expect {"metadata":{"model":"no"},"model":"large-2" ,"stream":true
-    hop1 send $stream$delta(one)$done
+    attempt1 expect {"metadata":{"model":"no"},"model":"large-2" ,"stream":true
+    attempt1 send $stream$delta(one)$done
     client1 expect X-Served-Model: large-2\r\n
     client1 expect \r\n0\r\n\r\n
   )");
   play.send("client1", ask("r2", "small-2"));
   play.run(R"(
-    hop2 expect "model":"small-2" ,
-    hop2 send $stream$delta(two)$done
+    attempt2 expect "model":"small-2" ,
+    attempt2 send $stream$delta(two)$done
     client1 expect X-Served-Model: small-2\r\n
     client1 expect \r\n0\r\n\r\n
   )");
@@ -86,8 +86,8 @@
                  "[[model]]\nname = 'rest'\nany_name = true\nboxes = { models = ['*'] }\n"});
   play.send("client1", ask("r1", "what-ever"));
   play.run(R"(
-    hop1 expect "model":"what-ever" ,
-    hop1 send $stream$delta(one)$done
+    attempt1 expect "model":"what-ever" ,
+    attempt1 send $stream$delta(one)$done
     client1 expect X-Served-Model: rest\r\n
     client1 expect \r\n0\r\n\r\n
   )");
@@ -97,10 +97,10 @@
   Play play(two());
   play.send("client1", ask("r1", "large-2"));
   play.run(R"(
-    hop1 expect "model":"large-2"
-    hop1 send $full
-    hop2 expect "model":"small-2"
-    hop2 send $stream$chunk(data: {"model":"small-2","choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}\n\n)$done
+    attempt1 expect "model":"large-2"
+    attempt1 send $full
+    attempt2 expect "model":"small-2"
+    attempt2 send $stream$chunk(data: {"model":"small-2","choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}\n\n)$done
     client1 expect X-Served-Model: small-2\r\n
     client1 expect "model":"small-2"
     client1 expect \r\n0\r\n\r\n
@@ -108,11 +108,11 @@
   )");
   play.send("client2", ask("r2", "large-2", "X-Model-Fallback: none\r\n"));
   play.run(R"(
-    hop3 send $full
+    attempt3 send $full
     client2 expect HTTP/1.1 503
     client2 expect Retry-After:
     router expect fallback_forbidden=1
-    router expect hops=3
+    router expect attempts=3
   )");
   play.send("client3", ask("r3", "large-2", "X-Model-Fallback: maybe\r\n"));
   play.run("client3 expect HTTP/1.1 400");
@@ -123,7 +123,7 @@
                  "[[model]]\nname = 'm'\nboxes = { models = ['L'] }\n"});
   play.run(R"(
     writer1 send $say(w1)
-    hop1 send $stream$chunk(data: {"model":"m","choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}\n\n)$done
+    attempt1 send $stream$chunk(data: {"model":"m","choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}\n\n)$done
     writer1 expect X-Served-Model: m\r\n
     writer1 expect "role":"assistant","model":"m"
     writer1 expect message_stop
@@ -134,7 +134,7 @@
   Play play(two(budget(135) + "[budgets]\ncharges = true\n"));
   play.send("client1", ask("r1", "small-2"));
   play.run(R"(
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect x-ratelimit-limit-tokens: 135\r\n
     client1 expect x-ratelimit-remaining-tokens: 45\r\n
     client1 expect x-ratelimit-reset-tokens:
@@ -144,7 +144,7 @@
   )");
   // 93 are left: enough for one more of 90, not for two at once.
   play.send("client1", ask("r2", "small-2"));
-  play.run("hop2 expect small-2");
+  play.run("attempt2 expect small-2");
   play.send("client2", ask("r3", "small-2"));
   play.run(R"(
     client2 expect HTTP/1.1 429
@@ -155,7 +155,7 @@
     client2 expect day|acme
     writer1 send $say(w1)
     writer1 expect HTTP/1.1 404
-    hop2 send $stream$delta(two)$done
+    attempt2 send $stream$delta(two)$done
     client1 expect \r\n0\r\n\r\n
     router expect budget_charged=84
     router expect budget_denied=1
@@ -180,32 +180,32 @@
   Play play({.boxes = 2, .operator_text = budget(120)});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $error
+    attempt1 send $error
     client1 expect HTTP/1.1 429
     router expect budget_charged=40
-    router expect hops=1
+    router expect attempts=1
   )");
 }
 
 TEST_CASE("a file read again in mid-stream loses no event, no budget, and no number") {
   Play play(two(budget(1000)));
   play.send("client1", ask("r1", "large-2"));
-  play.run("hop1 send $stream$delta(one)\nclient1 expect one");
+  play.run("attempt1 send $stream$delta(one)\nclient1 expect one");
   // The model of the open stream is gone, another one has come, and the budget is smaller.
   play.reload("[[model]]\nname = 'next'\nboxes = { models = ['L'] }\n"
               "[[model]]\nname = 'small-2'\nboxes = { models = ['S'] }\n" + budget(150));
   play.send("client2", ask("r2", "large-2"));
   play.run(R"(
     client2 expect HTTP/1.1 404
-    hop1 send $delta(two)$done
+    attempt1 send $delta(two)$done
     client1 expect two
     client1 expect \r\n0\r\n\r\n
     router expect budget_charged=42
   )");
   play.send("client1", ask("r3", "next"));
   play.run(R"(
-    hop2 expect "model":"next"
-    hop2 send $stream$delta(three)$done
+    attempt2 expect "model":"next"
+    attempt2 send $stream$delta(three)$done
     client1 expect X-Served-Model: next\r\n
     client1 expect x-ratelimit-limit-tokens: 150\r\n
     client1 expect x-ratelimit-remaining-tokens: 18\r\n
--- a/tests/net/play.cpp
+++ b/tests/net/play.cpp
@@ -108,7 +108,7 @@
   std::string got;
   std::size_t read = 0;
   bool ended = false;
-  // A box's connection: where the request in work begins, and the hop it is.
+  // A box's connection: where the request in work begins, and the attempt it is.
   http::MessageReader reader{http::MessageReader::Kind::request};
 
   net::Stream::Callbacks callbacks(std::function<void()> then = {}) {
@@ -210,12 +210,12 @@
       });
 }
 
-// Each request that begins at a box is the next hop; a reused connection carries several in turn.
+// Each request that begins at a box is the next attempt; a reused connection carries several in turn.
 void Play::box_arrived(std::shared_ptr<Line> line) {
   for (;;) {
     const auto piece = line->reader.next();
     if (piece == http::MessageReader::Piece::none) return;
-    if (piece == http::MessageReader::Piece::end) actors_["hop" + std::to_string(++hops_)] = line;
+    if (piece == http::MessageReader::Piece::end) actors_["attempt" + std::to_string(++attempts_)] = line;
   }
 }
 
--- a/tests/net/play.hpp
+++ b/tests/net/play.hpp
@@ -7,7 +7,7 @@
 // What is sent is with the kernel at once, and the loop runs only in `expect`, in `wait` and while an actor has yet to
 // come: steps between two of these meet in one round, in their order.
 //
-// Actors: clientN (the platform's front), writerN (the messages front), callN (the operators' door), hopN (the N-th request that reached
+// Actors: clientN (the platform's front), writerN (the messages front), callN (the operators' door), attemptN (the N-th request that reached
 // any stand-in box), list (discovery's stand-in: `send` answers the call that waits), newlist (another one,
 // to which `router turn` moves the router; their later connections are list2, newlist2, ...) and router
 // (`expect` reads its counters, `close` is a planned restart). `expect` goes on reading behind what it found
@@ -76,7 +76,7 @@
   std::vector<std::shared_ptr<Line>> accepted_;
   std::map<std::string, std::shared_ptr<Line>> actors_;
   std::map<std::string, int> connections_;  // to discovery's stand-ins
-  int hops_ = 0;
+  int attempts_ = 0;
   std::unique_ptr<Node> node_;
 };
 
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -12,22 +12,22 @@
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect POST /v1/chat/completions HTTP/1.1\r\n
-    hop1 expect X-Request-ID: r1\r\n
-    hop1 expect X-Timeout-Ms: 79
-    hop1 expect {"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]}
-    hop1 send $stream$delta(one)
+    attempt1 expect POST /v1/chat/completions HTTP/1.1\r\n
+    attempt1 expect X-Request-ID: r1\r\n
+    attempt1 expect X-Timeout-Ms: 79
+    attempt1 expect {"model":"m","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]}
+    attempt1 send $stream$delta(one)
     client1 expect HTTP/1.1 200 OK\r\n
     client1 expect $delta(one)
-    hop1 send $delta(two)$done
+    attempt1 send $delta(two)$done
     client1 expect $delta(two)
     client1 expect data: [DONE]\n\n
     client1 expect \r\n0\r\n\r\n
     router expect served=1
     # The connections stay, on both sides.
     client1 send $ask(r2)
-    hop2 expect X-Request-ID: r2\r\n
-    hop2 send $stream$delta(three)$done
+    attempt2 expect X-Request-ID: r2\r\n
+    attempt2 send $stream$delta(three)$done
     client1 expect three
     client1 expect \r\n0\r\n\r\n
     router expect opened=1
@@ -38,37 +38,37 @@
   Play play({.boxes = 2});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $full
-    hop2 expect X-Request-ID: r1\r\n
-    hop2 send $stream$delta(one)$done
+    attempt1 send $full
+    attempt2 expect X-Request-ID: r1\r\n
+    attempt2 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
-    router expect hop_full=1
+    router expect attempt_full=1
     router expect lines=2
   )");
 }
 
-TEST_CASE("an error before the first event leads to another hop") {
+TEST_CASE("an error before the first event leads to another attempt") {
   Play play({.boxes = 2});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $error
-    hop2 send $stream$delta(one)$done
+    attempt1 send $error
+    attempt2 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
-    router expect hop_error=1
+    router expect attempt_error=1
     router expect served=1
   )");
 }
 
-TEST_CASE("a stream that breaks ends the client's connection, without the last chunk or another hop") {
+TEST_CASE("a stream that breaks ends the client's connection, without the last chunk or another attempt") {
   Play play({.boxes = 2});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)
+    attempt1 send $stream$delta(one)
     client1 expect $delta(one)
-    hop1 close
+    attempt1 close
     client1 expect close
     router expect broken=1
-    router expect hops=1
+    router expect attempts=1
   )");
 }
 
@@ -76,7 +76,7 @@
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)0\r\n\r\n
+    attempt1 send $stream$delta(one)0\r\n\r\n
     client1 expect $delta(one)
     client1 expect close
     router expect broken=1
@@ -87,26 +87,26 @@
   Play play({.silence_limit = 100'000});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)
+    attempt1 send $stream$delta(one)
     client1 expect $delta(one)
     client1 expect close
-    hop1 expect {"role":"user","content":"hi"}]}
-    hop1 expect close
+    attempt1 expect {"role":"user","content":"hi"}]}
+    attempt1 expect close
     router expect silent=1
   )");
 }
 
-// The idle timer of a pooled connection once ran on under the next hop and closed it.
-TEST_CASE("a pooled connection's idle limit does not end the hop that took it") {
+// The idle timer of a pooled connection once ran on under the next attempt and closed it.
+TEST_CASE("a pooled connection's idle limit does not end the attempt that took it") {
   Play play({.keepalive = 300'000});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client1 send $ask(r2)
-    hop2 expect X-Request-ID: r2\r\n
+    attempt2 expect X-Request-ID: r2\r\n
     wait 500
-    hop2 send $stream$delta(two)$done
+    attempt2 send $stream$delta(two)$done
     client1 expect two
     client1 expect \r\n0\r\n\r\n
     router expect reused=1
@@ -117,9 +117,9 @@
   Play play({.keepalive = 300'000});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect {"role":"user","content":"hi"}]}
-    hop1 send $stream$delta(one)$done
-    hop1 expect close
+    attempt1 expect {"role":"user","content":"hi"}]}
+    attempt1 send $stream$delta(one)$done
+    attempt1 expect close
     router expect lines=0
   )");
 }
@@ -128,25 +128,25 @@
   Play play({.boxes = 2});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client2 send $ask(r2)
-    hop2 close
-    hop3 expect X-Request-ID: r2\r\n
-    router expect hop_reset=1
-    router expect hops=3
+    attempt2 close
+    attempt3 expect X-Request-ID: r2\r\n
+    router expect attempt_reset=1
+    router expect attempts=3
   )");
 }
 
-TEST_CASE("a hop ends with the client's time, and the client is told when to come back") {
+TEST_CASE("an attempt ends with the client's time, and the client is told when to come back") {
   Play play;
   play.run(R"(
     client1 send $ask(r1,150)
-    hop1 expect {"role":"user","content":"hi"}]}
-    hop1 expect close
+    attempt1 expect {"role":"user","content":"hi"}]}
+    attempt1 expect close
     client1 expect HTTP/1.1 503 Service Unavailable\r\n
     client1 expect Retry-After: 
-    router expect hop_timed_out=1
+    router expect attempt_timed_out=1
   )");
 }
 
@@ -154,26 +154,26 @@
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $full
+    attempt1 send $full
     client1 expect HTTP/1.1 503 Service Unavailable\r\n
     client1 expect Retry-After: 
     router expect shed=1
   )");
 }
 
-TEST_CASE("a client that goes ends its hop") {
+TEST_CASE("a client that goes ends its attempt") {
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect {"role":"user","content":"hi"}]}
+    attempt1 expect {"role":"user","content":"hi"}]}
     client1 close
-    hop1 expect close
+    attempt1 expect close
     router expect gone=1
     router expect open=0
   )");
 }
 
-TEST_CASE("bad input gets a short answer and no hop") {
+TEST_CASE("bad input gets a short answer and no attempt") {
   const auto& [request, status] = GENERATE(table<std::string, std::string>({
       {R"(nonsense\r\n\r\n)", "400"},
       {R"(GET /elsewhere HTTP/1.1\r\n\r\n)", "404"},
@@ -213,25 +213,25 @@
   Play play;
   play.run(
       "client1 send " + request + "\nclient1 expect HTTP/1.1 " + status +
-      " \nclient1 expect {\"error\":{\nrouter expect bad=1\nrouter expect hops=0\nrouter expect open=0\n");
+      " \nclient1 expect {\"error\":{\nrouter expect bad=1\nrouter expect attempts=0\nrouter expect open=0\n");
 }
 
 TEST_CASE(
-    "an answer spoilt before its first event is a failed hop on a closed connection, and another follows") {
+    "an answer spoilt before its first event is a failed attempt on a closed connection, and another follows") {
   const std::string spoilt =
       GENERATE(as<std::string>(), R"(noise\n)", R"(HTTP/1.1 101 Switching Protocols\r\n\r\n)",
                R"(HTTP/1.1 200 OK\r\nX: y)", R"($stream()zz\r\n)", R"($stream()b2d05e00\r\n\n\n\n)",
                R"($stream()3\r\ndata: {}\n\n)", R"($stream$chunk(noise\n\n))");
   Play play({.boxes = 2});
-  play.run("client1 send $ask(r1)\nhop1 expect X-Request-ID: r1\\r\\n\nhop1 send " + spoilt + R"(
-    hop2 expect X-Request-ID: r1\r\n
-    hop1 expect "content":"hi"}]}
-    hop1 expect close
-    hop2 send $stream$delta(one)$done
+  play.run("client1 send $ask(r1)\nattempt1 expect X-Request-ID: r1\\r\\n\nattempt1 send " + spoilt + R"(
+    attempt2 expect X-Request-ID: r1\r\n
+    attempt1 expect "content":"hi"}]}
+    attempt1 expect close
+    attempt2 send $stream$delta(one)$done
     client1 expect $delta(one)
     client1 expect \r\n0\r\n\r\n
     router expect spoilt=1
-    router expect hop_reset=1
+    router expect attempt_reset=1
     router expect served=1
   )");
 }
@@ -242,24 +242,24 @@
                // A size that is too large by one chunk: its "event" would hold what frames the next one.
                R"(22\r\ndata: {}\n\n\r\n10\r\ndata: {"a":"b"}\n\n\r\n)");
   Play play({.boxes = 2});
-  play.run("client1 send $ask(r1)\nhop1 send $stream$delta(one)\nclient1 expect $delta(one)\nhop1 send " +
+  play.run("client1 send $ask(r1)\nattempt1 send $stream$delta(one)\nclient1 expect $delta(one)\nattempt1 send " +
            spoilt + R"(
     router expect spoilt=1
     router expect broken=1
-    router expect hops=1
+    router expect attempts=1
   )");
   CHECK(play.received("client1").find("\r\n0\r\n\r\n") == std::string::npos);
   CHECK(play.received("client1").find("data: {\"a\"") == std::string::npos);
-  play.run("hop1 expect \"content\":\"hi\"}]}\nhop1 expect close");
+  play.run("attempt1 expect \"content\":\"hi\"}]}\nattempt1 expect close");
 }
 
 TEST_CASE("interim answers ahead of a good one, however early, change nothing") {
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n
+    attempt1 send HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n
     wait 400
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect $delta(one)
     client1 expect \r\n0\r\n\r\n
     router expect served=1
@@ -269,13 +269,13 @@
 
 TEST_CASE("a second answer behind the first never answers the next request") {
   const std::string later =
-      GENERATE(as<std::string>(), "", "\nclient1 expect \\r\\n0\\r\\n\\r\\n\nhop1 send ");
+      GENERATE(as<std::string>(), "", "\nclient1 expect \\r\\n0\\r\\n\\r\\n\nattempt1 send ");
   Play play;
-  play.run("client1 send $ask(r1)\nhop1 send $stream$delta(one)$done" + later + R"($stream$delta(other)$done
+  play.run("client1 send $ask(r1)\nattempt1 send $stream$delta(one)$done" + later + R"($stream$delta(other)$done
     router expect lines=0
     client2 send $ask(r2)
-    hop2 expect X-Request-ID: r2\r\n
-    hop2 send $stream$delta(two)$done
+    attempt2 expect X-Request-ID: r2\r\n
+    attempt2 send $stream$delta(two)$done
     client2 expect $delta(two)
     client2 expect \r\n0\r\n\r\n
     router expect opened=2
@@ -299,7 +299,7 @@
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client2 expect close
     client3 send POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r3\r\n
@@ -315,23 +315,23 @@
   Play play({.boxes = 2});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect X-Request-ID: r1\r\n
+    attempt1 expect X-Request-ID: r1\r\n
     client2 send $ask(r1)
     client2 expect HTTP/1.1 409 Conflict\r\n
     writer1 send $say(r1)
     writer1 expect HTTP/1.1 409 Conflict\r\n
-    router expect hops=1
-    hop1 send $stream$delta(one)$done
+    router expect attempts=1
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client3 send $ask(r1)
-    hop2 send $stream$delta(two)$done
+    attempt2 send $stream$delta(two)$done
     client3 expect \r\n0\r\n\r\n
     client4 send $ask(r4)
-    hop3 expect X-Request-ID: r4\r\n
+    attempt3 expect X-Request-ID: r4\r\n
     client4 close
     router expect gone=1
     client5 send $ask(r4)
-    hop4 expect X-Request-ID: r4\r\n
+    attempt4 expect X-Request-ID: r4\r\n
   )");
 }
 
@@ -358,7 +358,7 @@
     client2 send
     wait 700
     client3 send $ask(r3)
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client3 expect \r\n0\r\n\r\n
     router expect evicted=1
     router expect crowded=0
@@ -378,7 +378,7 @@
     router expect crowded=1
     router expect clients=0
     client3 send $ask(r3)
-    hop1 expect X-Request-ID: r3\r\n
+    attempt1 expect X-Request-ID: r3\r\n
   )");
 }
 
@@ -391,7 +391,7 @@
     wait 10
     client1 send X-Attrs: prompt_len=4,max_out=4\r\n\r\n3\r\n{"a
     client1 send \r\n4\r\n":1}\r\n0\r\n\r\n
-    hop1 expect Content-Length: 7\r\n\r\n{"a":1}
+    attempt1 expect Content-Length: 7\r\n\r\n{"a":1}
   )");
 }
 
@@ -399,9 +399,9 @@
   Play play;
   play.run(R"(
     client1 send POST /v1/chat/completions?rest=1 HTTP/1.1\r\nX-Request-ID: r1\r\nX-Retried: again\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 4000\r\nX-Attrs: prompt_len=4,max_out=4\r\nContent-Length: 2\r\n\r\n{}
-    hop1 expect POST /v1/chat/completions?rest=1 HTTP/1.1\r\n
-    hop1 expect X-Retried: again\r\n
-    hop1 send $stream$delta(one)$done
+    attempt1 expect POST /v1/chat/completions?rest=1 HTTP/1.1\r\n
+    attempt1 expect X-Retried: again\r\n
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
   )");
 }
@@ -416,7 +416,7 @@
     list expect GET /registry/instances?after=3&wait_ms=2500 
     client1 send $ask(r1,300)
     client1 expect HTTP/1.1 503 
-    router expect hops=0
+    router expect attempts=0
   )");
 }
 
@@ -428,14 +428,14 @@
     list expect GET /registry/instances?after=2&wait_ms=2500 
     router expect list_bad=4
     client1 send $ask(r1)
-    hop1 expect X-Request-ID: r1
-    hop1 send $stream$delta(one)$done
+    attempt1 expect X-Request-ID: r1
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client1 send $ask(r2)
-    hop1 expect X-Request-ID: r2
-    hop1 send $stream$delta(two)$done
+    attempt1 expect X-Request-ID: r2
+    attempt1 send $stream$delta(two)$done
     client1 expect \r\n0\r\n\r\n
-    router expect hops=2
+    router expect attempts=2
   )");
 }
 
@@ -468,12 +468,12 @@
     list6 send $json({"rev":2,"all":false,"targets":[]})
     list6 expect GET /registry/instances?after=2&wait_ms=2500 
     client1 send $ask(r1)
-    hop1 expect X-Request-ID: r1
+    attempt1 expect X-Request-ID: r1
   )");
 }
 
 // What lies unread before it hides the end of a connection from whoever reads in order.
-TEST_CASE("a client that closed behind bytes that nobody reads gets no hop") {
+TEST_CASE("a client that closed behind bytes that nobody reads gets no attempt") {
   Play play({.known_state = "DRAINING"});
   play.run(R"(
     list expect GET /registry/instances?after=1&wait_ms=0 
@@ -485,11 +485,11 @@
     client3 send $ask(r2)
     wait 50
     list send $json({"rev":2,"all":false,"targets":[{"uid":"s-01","state":"SERVING"}]})
-    hop1 expect X-Request-ID: r2\r\n
-    hop1 send $stream$delta(one)$done
+    attempt1 expect X-Request-ID: r2\r\n
+    attempt1 send $stream$delta(one)$done
     client3 expect \r\n0\r\n\r\n
     router expect gone=1
-    router expect hops=1
+    router expect attempts=1
   )");
 }
 
@@ -501,7 +501,7 @@
     router expect list_failures=1
     router expect list_calls=2
     client1 send $ask(r1)
-    hop1 expect X-Request-ID: r1
+    attempt1 expect X-Request-ID: r1
   )");
 }
 
@@ -527,25 +527,25 @@
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect "content":"hi"}]}
-    hop1 send $stream$delta(one)$done
+    attempt1 expect "content":"hi"}]}
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     router expect lines=1
     list expect GET /registry/instances
   )");
   answer_list(play, "2", entry("s-01", play.box(0), "DELETED") + "," + entry("s-02", play.box(0), "SERVING"));
   play.run(R"(
-    hop1 expect close
+    attempt1 expect close
     router expect lines=0
     client1 send $ask(r2)
-    hop2 expect X-Request-ID: r2\r\n
-    hop2 send $stream$delta(two)
+    attempt2 expect X-Request-ID: r2\r\n
+    attempt2 send $stream$delta(two)
     client1 expect $delta(two)
   )");
   // One that goes with a request in work may finish it, and then its connection is closed too.
   answer_list(play, "3", entry("s-02", play.box(0), "DRAINING"));
   play.run(R"(
-    hop2 send $done
+    attempt2 send $done
     client1 expect \r\n0\r\n\r\n
     router expect served=2
     router expect lines=0
@@ -567,7 +567,7 @@
   answer_list(play, "300",
               entry("s-1299", play.box(0), "DELETED") + "," + entry("t-1299", play.box(0), "SERVING"));
   CHECK(play.targets() <= 80);
-  play.run("client1 send $ask(r1)\nhop1 expect X-Request-ID: r1\\r\\n");
+  play.run("client1 send $ask(r1)\nattempt1 expect X-Request-ID: r1\\r\\n");
 }
 
 TEST_CASE("a new address of discovery is asked for its whole list at once, and the old one is not heard") {
@@ -583,14 +583,14 @@
     list expect close
     # The targets stay until the new list tells, also while the router winds down.
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     router close
     newlist send $json({"rev":2,"all":true,"targets":[]})
     newlist expect GET /registry/instances?after=2&wait_ms=2500 
     client1 send $ask(r2,300)
     client1 expect HTTP/1.1 503 
-    router expect hops=1
+    router expect attempts=1
     router expect reloads=1
     router expect list_failures=0
   )");
@@ -614,15 +614,15 @@
   Play play;
   play.run(R"(
     client1 send $ask(r1)
-    hop1 send $stream$delta(one)
+    attempt1 send $stream$delta(one)
     client1 expect $delta(one)
     router close
     client2 send $ask(r2)
-    hop2 send $stream$delta(two)$done
+    attempt2 send $stream$delta(two)$done
     client2 expect Connection: close\r\n
     client2 expect \r\n0\r\n\r\n
     client2 expect close
-    hop1 send $done
+    attempt1 send $done
     client1 expect \r\n0\r\n\r\n
     client1 expect close
     router expect served=2
@@ -642,20 +642,20 @@
   Play play({.most_clients = 1});
   play.run(R"(
     client1 send $ask(r1)
-    hop1 expect X-Request-ID: r1\r\n
+    attempt1 expect X-Request-ID: r1\r\n
     client2 send $ask(r2)
     client2 expect HTTP/1.1 503 
     client2 expect Retry-After: 
     client2 expect {"error":{"type":"overloaded","message":"refused: try again later"}}
     client2 expect close
-    hop1 send $stream$delta(one)$done
+    attempt1 send $stream$delta(one)$done
     client1 expect \r\n0\r\n\r\n
     client3 send $ask(r3)
-    hop2 expect X-Request-ID: r3\r\n
+    attempt2 expect X-Request-ID: r3\r\n
     client4 send $ask(r4)
     client4 expect HTTP/1.1 503 
     client1 expect close
-    hop2 send $stream$delta(two)$done
+    attempt2 send $stream$delta(two)$done
     client3 expect \r\n0\r\n\r\n
     router expect crowded=2
   )");
