--- a/tests/net/handover.cpp
+++ b/tests/net/handover.cpp
@@ -95,6 +95,16 @@
     say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
         http::write_chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"begins\"},\"finish_reason\":null}]}\n\n"));
   }
+  // As discovery: one call is answered with this list, and the next one, a watch, is left waiting.
+  void tell(const std::string& list) {
+    attempt_ = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    std::array<char, 4096> call;
+    REQUIRE(read(attempt_, call.data(), call.size()) > 0);
+    say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    const auto got = read(attempt_, call.data(), call.size());
+    REQUIRE(got > 0);
+    CHECK(std::string(call.data(), static_cast<std::size_t>(got)).find("?after=2&") != std::string::npos);
+  }
   void finish() { say(http::write_chunk("data: [DONE]\n\n") + std::string(http::kLastChunk)); }
   int port = 0;
 
@@ -123,9 +133,9 @@
 };
 
 struct Place {
-  explicit Place(int box = 1) : config(scratch.path("config.json")), tmp(scratch.path("tmp")) {
+  explicit Place(int box = 1, int discovery = 1) : config(scratch.path("config.json")), tmp(scratch.path("tmp")) {
     std::filesystem::create_directory(tmp);
-    write_bytes(config, R"({"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff",)"
+    write_bytes(config, R"({"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(discovery) + R"(","seed":"ff",)"
                         R"("known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:)" + std::to_string(box) +
                         R"(","state":"SERVING"}]},"settings":{"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],"tenants":[{"name":"acme","share":1}]}})");
     path = net::handover_path(tmp, "n1", "127.0.0.1:0");
@@ -172,6 +182,43 @@
   CHECK(ready(third.front).starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("a request half read at the hand-over is finished by the process that read its first half") {
+  Box box;
+  Place place(box.port);
+  Serving first(place.config, place.tmp);
+  Wire half(first.front);
+  half.send("GET /health/ready HTTP/1.1\r\n\r\n");  // so that it is this process that has the connection
+  CHECK(half.until("}").starts_with("HTTP/1.1 200"));
+  const std::string request = ask();
+  half.send(request.substr(0, 60));
+  Serving second(place.config, place.tmp);
+  CHECK(first.program.says("handed-over: a successor serves") != "");
+  half.send(request.substr(60));
+  box.begin();
+  box.finish();
+  const std::string answer = half.until("0\r\n\r\n");
+  CHECK(answer.find("[DONE]") != std::string::npos);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(first.program.status() == 0);
+  CHECK(ready(second.front).starts_with("HTTP/1.1 200"));
+}
+
+// The new process has an old list in its configuration, and discovery says nothing to it.
+TEST_CASE("a list that is newer in the old process is the new one's") {
+  Box old_box, new_box, discovery;
+  Place place(old_box.port, discovery.port);
+  Serving first(place.config, place.tmp);
+  discovery.tell(R"({"rev":2,"all":true,"targets":[{"uid":"s-2","endpoint":"127.0.0.1:)" + std::to_string(new_box.port) +
+                 R"(","state":"SERVING"}]})");
+  Serving second(place.config, place.tmp);
+  CHECK(first.program.says("handed-over: a successor serves") != "");
+  Wire client(second.front);
+  client.send(ask());
+  new_box.begin();
+  new_box.finish();
+  CHECK(client.until("0\r\n\r\n").find("[DONE]") != std::string::npos);
+}
+
 TEST_CASE("a successor that dies leaves the old process serving, before and after it served") {
   Box box;
   Place place(box.port);
