Play a peer's datagram while idle clients fill the descriptors

The last empty cell of the table of crossings: a router whose 256 descriptors are taken by idle clients, with discovery down, hears a peer's word that a replica drains; of twelve requests none tries it. Without the word the test fails. Nothing was found.

--- a/tests/net/outage.cpp
+++ b/tests/net/outage.cpp
@@ -111,13 +111,14 @@
 
 // Returns the file's path.
 std::string write_config(const std::string& name, const std::string& listen, const std::string& discovery,
-                         const std::string& replica, int sockets) {
+                         const std::string& replica, int sockets, const std::string& more = {},
+                         const std::string& more_settings = {}, const std::string& others = {}) {
   const std::string path = "thornwick-outage-" + std::to_string(getpid()) + "-" + name + ".json";
   std::ofstream(path) << R"({"name":")" << name << R"(","listen":")" << listen << R"(","discovery":")" << discovery
                       << R"(","seed":"ff","limits":{"cores":1,"memory_mb":96,"sockets":)" << sockets
-                      << R"(},"known":{"rev":1,"all":true,"targets":[)" << entry("s-01", replica, "SERVING")
-                      << R"(]},"settings":{"registryMode":"ask","grades":[{"name":"chat","objective":4000000,"deadline":20000000,"streamed":true}],)"
-                      << R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5}}})";
+                      << R"(},"known":{"rev":1,"all":true,"targets":[)" << entry("s-01", replica, "SERVING") << others
+                      << "]}," << more << R"("settings":{"registryMode":"ask",)" << more_settings << R"("grades":[{"name":"chat","objective":4000000,"deadline":20000000,"streamed":true}],)"
+                      << R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5,"peers":true}}})";
   return path;
 }
 
@@ -195,3 +196,30 @@
   }  // the end of a Program is SIGKILL
   for (const auto& path : paths) std::remove(path.c_str());
 }
+
+// A peer's word that s-01 drains: heard, though no descriptor is free for anything new.
+TEST_CASE("a peer's datagram is heard while idle clients fill the descriptors") {
+  Socket first, second, discovery, own(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0)), peer(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  const std::string first_at = first.bind_any(), second_at = second.bind_any(), discovery_at = discovery.bind_any();
+  const std::string own_at = own.bind_any(), peer_at = peer.bind_any();
+  { Socket free_it = std::move(own); }
+  second.let_in();  // nobody listens at the first: an attempt there fails, and the counters say so
+  const std::string others = "," + entry("s-02", second_at, "SERVING") + "," + entry("s-03", second_at, "SERVING");
+  const std::string path = write_config("p1", "127.0.0.1:0", discovery_at, first_at, 256,
+                                        R"("peer_listen":")" + own_at + R"(","peers":[")" + own_at + R"(",")" + peer_at + R"("],)",
+                                        R"("groupSize":2,"rank":0,)", others);
+  {
+    Program program(path);
+    const std::string address = address_of(program);
+    auto idle = crowd(address, 320);
+    REQUIRE(peer.connect_to(own_at));
+    peer.send_all(std::string("\x44\x01\x01\0\0\0\0\0\0\0", 10));
+    for (int i = 0; i < 12; ++i) served(address, second, "r" + std::to_string(i));
+    program.signal(SIGUSR1);
+    const std::string counters = program.says("counters");
+    INFO(counters);
+    CHECK(counters.find("attempts=12 ") != std::string::npos);
+    CHECK(counters.find("attempt_connect_failed") == std::string::npos);
+  }
+  std::remove(path.c_str());
+}
