Report a send that is not carried out in one place, whoever forbids it

Exchanges::send had the report of `not_sent` twice, for what the core forbids and for a client that has gone: the same outcome, counter and call.

--- a/src/core/exchanges.cpp
+++ b/src/core/exchanges.cpp
@@ -277,17 +277,14 @@
   Exchange& x = found->second;
   const Time now = around_.clock.now();
   const AttemptId attempt{action.id, x.sends++};
-  if (x.started || x.attempt_out || attempt.number >= most_attempts_ || now >= x.arrival.request.due || action.time == kNotSent) {
+  const bool allowed = !x.started && !x.attempt_out && attempt.number < most_attempts_ && now < x.arrival.request.due &&
+                       action.time != kNotSent;
+  const bool gone = allowed && !x.reply->client_there();
+  if (gone) client_gone(action.id);  // x is no more
+  if (!allowed || gone) {
     ++counters_.outcomes[Outcome::not_sent];
-    decider_->on_attempt_result(
-        now,
-        {.id = action.id, .attempt = attempt.number, .replica = action.replica, .outcome = Outcome::not_sent});
-    return;
-  }
-  if (!x.reply->client_there()) {
-    client_gone(action.id);
-    ++counters_.outcomes[Outcome::not_sent];
-    return decider_->on_attempt_result(now, {.id = action.id, .attempt = attempt.number, .replica = action.replica, .outcome = Outcome::not_sent});
+    return decider_->on_attempt_result(
+        now, {.id = action.id, .attempt = attempt.number, .replica = action.replica, .outcome = Outcome::not_sent});
   }
   x.attempt = attempt;
   x.attempt_out = true;
