Let the tests that talk to processes share one blocking socket

tests/net/outage.cpp had brought listening, accepting and reading on loopback that tests/net/handover.cpp had for its stand-in of a replica.

--- a/tests/net/handover.cpp
+++ b/tests/net/handover.cpp
@@ -5,15 +5,18 @@
 
 #include <atomic>
 #include <filesystem>
+#include <optional>
 #include <thread>
 
 #include "../store/scratch.hpp"
 #include "http/http.hpp"
 #include "net/handover.hpp"
 #include "program.hpp"
+#include "socket.hpp"
 
 using namespace sprucecourse;
 using sprucecourse::testing::Program;
+using sprucecourse::testing::Socket;
 using sprucecourse::testing::Scratch;
 using sprucecourse::testing::write_bytes;
 
@@ -77,40 +80,31 @@
 // A box that answers one request with a beginning, and with the end when it is told.
 class Box {
  public:
-  Box() : listener_(Wire::made(AF_INET)) {
-    sockaddr_in own{};
-    own.sin_family = AF_INET;
-    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof own;
-    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&own), sizeof own) == 0);
-    REQUIRE(listen(listener_, 8) == 0);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &size);
-    port = ntohs(own.sin_port);
+  Box() {
+    const std::string address = listener_.bind_any();
+    port = std::stoi(address.substr(address.rfind(':') + 1));
+    listener_.let_in();
   }
-  ~Box() { close(attempt_), close(listener_); }
   void begin() {
-    attempt_ = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    std::array<char, 4096> request;
-    REQUIRE(read(attempt_, request.data(), request.size()) > 0);
+    attempt_ = listener_.accept_one();
+    REQUIRE(attempt_->read_until("}]}").ends_with("}]}"));
     say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
         http::write_chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"begins\"},\"finish_reason\":null}]}\n\n"));
   }
   // As discovery: one call is answered with this list, and the next one, a watch, is left waiting.
   void tell(const std::string& list) {
-    attempt_ = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    std::array<char, 4096> call;
-    REQUIRE(read(attempt_, call.data(), call.size()) > 0);
+    attempt_ = listener_.accept_one();
+    attempt_->read_until("\r\n\r\n");
     say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
-    const auto got = read(attempt_, call.data(), call.size());
-    REQUIRE(got > 0);
-    CHECK(std::string(call.data(), static_cast<std::size_t>(got)).find("?after=2&") != std::string::npos);
+    CHECK(attempt_->read_until("\r\n\r\n").find("?after=2&") != std::string::npos);
   }
   void finish() { say(http::write_chunk("data: [DONE]\n\n") + std::string(http::kLastChunk)); }
   int port = 0;
 
  private:
-  void say(const std::string& text) { REQUIRE(write(attempt_, text.data(), text.size()) == static_cast<ssize_t>(text.size())); }
-  int listener_, attempt_ = -1;
+  void say(const std::string& text) { attempt_->send_all(text); }
+  Socket listener_;
+  std::optional<Socket> attempt_;
 };
 
 std::string ask() {
--- a/tests/net/outage.cpp
+++ b/tests/net/outage.cpp
@@ -1,7 +1,4 @@
 // The program as processes while discovery is down: idle clients that fill the descriptors, and starts.
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 
@@ -10,67 +7,13 @@
 #include <vector>
 
 #include "program.hpp"
+#include "socket.hpp"
 
 using sprucecourse::testing::Program;
+using sprucecourse::testing::Socket;
 
 namespace {
 
-constexpr int kPatienceMs = 20'000;  // far above any wait here: only a hang reaches it
-
-class Socket {
- public:
-  explicit Socket(int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) : fd_(fd) {}
-  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-  ~Socket() {
-    if (fd_ >= 0) close(fd_);
-  }
-  int fd() const { return fd_; }
-
-  // At a port of the system's choice; nobody is let in before listen().
-  std::string bind_any() {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
-    socklen_t size = sizeof at;
-    REQUIRE(getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size) == 0);
-    return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-  }
-  void let_in() { REQUIRE(listen(fd_, 64) == 0); }
-  Socket accept_one() {
-    REQUIRE(ready());
-    return Socket(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
-  }
-  bool connect_to(const std::string& address) {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    at.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
-    return connect(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
-  }
-  void send_all(const std::string& bytes) {
-    REQUIRE(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
-  }
-  // What comes until this text is in it, or the other side ends.
-  std::string read_until(const std::string& text) {
-    std::string got;
-    std::array<char, 4096> bytes;
-    while (got.find(text) == std::string::npos && ready()) {
-      const ssize_t count = recv(fd_, bytes.data(), bytes.size(), 0);
-      if (count <= 0) break;
-      got.append(bytes.data(), static_cast<std::size_t>(count));
-    }
-    return got;
-  }
-
- private:
-  bool ready() const {
-    pollfd asked{fd_, POLLIN, 0};
-    return poll(&asked, 1, kPatienceMs) == 1;
-  }
-  int fd_;
-};
-
 std::string entry(const std::string& uid, const std::string& address, const std::string& state) {
   return R"({"uid":")" + uid + R"(","endpoint":")" + address + R"(","az":"a","model":"m","pod_group":1,"state":")" + state +
          R"(","capacity_hint":1.0,"boot_ms":0})";
