--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -252,8 +252,7 @@
 
 void Day::end_turn(Turn& t, double part) {
   auto& fates = result.classes[t.cls].fates;
-  const Time warm = static_cast<Time>(scenario.warm_up_s * 1e6);
-  if (t.asked_at >= warm && fates.size() < ClassResult::kMostFates) fates.push_back({t.prompt, t.key, t.answered});
+  if (counts(scenario, t.asked_at) && fates.size() < ClassResult::kMostFates) fates.push_back({t.prompt, t.key, t.answered});
   book(result, scenario, t.asked_at, t.cls, t.member, t.worth, part);
   turns.drop(t.name);
 }
--- a/src/emulator/result.cpp
+++ b/src/emulator/result.cpp
@@ -97,9 +97,11 @@
   return first_at <= deadline && pace_ms <= 2 * d.token_ms ? d.late_worth : 0;
 }
 
+bool counts(const Scenario& scenario, Time asked_at) { return asked_at >= static_cast<Time>(scenario.warm_up_s * 1e6); }
+
 void book(Result& r, const Scenario& scenario, Time asked_at, std::size_t cls, std::size_t member, double worth,
           double part) {
-  if (asked_at < static_cast<Time>(scenario.warm_up_s * 1e6)) return;
+  if (!counts(scenario, asked_at)) return;
   const auto window = static_cast<std::size_t>(static_cast<double>(asked_at) / 1e6 / r.window_s);
   if (window >= r.windows.size()) r.windows.resize(window + 1);
   for (Worth* w : {&r.whole, &r.classes[cls].worth, &r.members[member], &r.windows[window]}) {
--- a/src/emulator/result.hpp
+++ b/src/emulator/result.hpp
@@ -105,8 +105,11 @@
 // The part of its worth that a whole answer earns (docs/lab.md, "Score"). Times in microseconds on one clock.
 double earned_part(const Demand& demand, Time aim_at, Time deadline, Time first_at, Time ended, double made);
 
+// Whether a request that was asked then counts: nothing does before the warm-up is over.
+bool counts(const Scenario& scenario, Time asked_at);
+
 // Books what a request was worth and the part of it that was earned, at the time of asking (microseconds from the
-// day's start). Nothing is booked before the warm-up is over.
+// day's start), if it counts.
 void book(Result& result, const Scenario& scenario, Time asked_at, std::size_t cls, std::size_t member, double worth,
           double part);
 
