--- /dev/null
+++ b/tests/incidents/drain.cpp
@@ -0,0 +1,159 @@
+// Issue 44: requests to replicas that drain, after the time at which every router counts as informed. Routers
+// run as processes; discovery is slow, or silent, and moves with SIGHUP.
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <vector>
+
+#include "../net/program.hpp"
+#include "../net/socket.hpp"
+#include "slow_discovery.hpp"
+
+using namespace thornwick;
+using testing::CountingReplica;
+using testing::Program;
+using testing::run_until;
+using testing::SlowDiscovery;
+using testing::Socket;
+
+namespace {
+
+constexpr Time kSecond = 1'000'000;
+// Of the protocol: a change counts as told 6 s after discovery had it and could be reached, and 0.55 s later
+// no request may go there any more.
+constexpr Time kForbiddenAfter = 6'550'000;
+constexpr Time kBetweenRequests = 50'000;
+constexpr Time kObserved = 2 * kSecond;
+
+// An address that nobody uses, for a UDP socket of a router.
+std::string free_datagram_address() {
+  Socket socket_of_a_moment(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  return socket_of_a_moment.bind_any();
+}
+
+// Several routers as processes, in front of two replicas of which the first is going to drain.
+class Fleet {
+ public:
+  enum class Peers { off, on };
+
+  Fleet(std::size_t routers, Peers peers, const SlowDiscovery& discovery) {
+    for (std::size_t i = 0; i < routers; ++i) {
+      paths_.push_back("thornwick-incident-" + std::to_string(getpid()) + "-" + std::to_string(i) + ".json");
+      if (peers == Peers::on) peer_addresses_.push_back(free_datagram_address());
+    }
+    for (std::size_t i = 0; i < routers; ++i) {
+      write_config(i, discovery);
+      programs_.push_back(std::make_unique<Program>(paths_[i]));
+      const std::string serves = programs_.back()->says(" serves on ");
+      REQUIRE(serves.find("127.0.0.1:") != std::string::npos);
+      const auto begin = serves.find("127.0.0.1:");
+      addresses_.push_back(serves.substr(begin, serves.find(',') - begin));
+    }
+  }
+  ~Fleet() {
+    for (const auto& path : paths_) std::remove(path.c_str());
+  }
+
+  std::size_t size() const { return programs_.size(); }
+  // A new configuration with another discovery, and SIGHUP.
+  void move_discovery(std::size_t router, const SlowDiscovery& discovery) {
+    write_config(router, discovery);
+    programs_[router]->signal(SIGHUP);
+  }
+  // A request on a connection of its own; its answer is not waited for.
+  void request(std::size_t router) {
+    auto stream = std::make_unique<net::Stream>(net::Stream::Callbacks{
+        .connected = [] {}, .arrived = [](std::string_view) {}, .drained = [] {}, .ended = [] {}});
+    REQUIRE(stream->connect(net::parse_address(addresses_[router]).get()));
+    const std::string id = std::to_string(++requests_);
+    stream->write("POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Request-ID: r" + id +
+                  "\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\nX-Route-Key: " +
+                  id + "\r\nX-Attrs: prompt_len=4,max_out=4\r\nContent-Length: 2\r\n\r\n{}");
+    streams_.push_back(std::move(stream));
+  }
+  void request_all() {
+    for (std::size_t i = 0; i < size(); ++i) request(i);
+  }
+  // All routers get requests for so long.
+  void load_for(Time time) {
+    const Time end = net::now_us() + time;
+    while (net::now_us() < end) {
+      request_all();
+      run_until([] { return false; }, kBetweenRequests);
+    }
+  }
+
+  CountingReplica draining, staying;
+  std::string entries(const std::string& state_of_first) const {
+    return draining.entry("s-01", state_of_first) + "," + staying.entry("s-02", "SERVING");
+  }
+
+ private:
+  void write_config(std::size_t router, const SlowDiscovery& discovery) const {
+    const bool peers = !peer_addresses_.empty();
+    std::string addresses;
+    for (const auto& address : peer_addresses_)
+      addresses += (addresses.empty() ? "\"" : ",\"") + address + "\"";
+    const std::string fresh = paths_[router] + ".new";
+    std::ofstream(fresh)
+        << R"({"name":"n)" << router << R"(","listen":"127.0.0.1:0","discovery":")" << discovery.address()
+        << R"(","seed":"f)" << router << R"(","limits":{"cores":1,"memory_mb":96,"sockets":256},)"
+        << R"("known":{"rev":1,"all":true,"targets":[)" << entries("SERVING") << "]},"
+        << (peers ? R"("peer_listen":")" + peer_addresses_[router] + R"(","peers":[)" + addresses +
+                        R"(],"peers_all":")" + other_peer(router) + R"(",)"
+                  : "")
+        << R"("settings":{"registryMode":"ask","groupSize":)" << size_for_settings() << R"(,"rank":)"
+        << router << R"(,"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],)"
+        << R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5,"peers":)"
+        << (peers ? "true" : "false") << "}}}";
+    REQUIRE(std::rename(fresh.c_str(), paths_[router].c_str()) == 0);
+  }
+  std::size_t size_for_settings() const { return paths_.size(); }
+  // Where a message to all peers goes: in a group of two, to the other one.
+  std::string other_peer(std::size_t router) const { return peer_addresses_[1 - router]; }
+
+  std::vector<std::string> paths_, peer_addresses_, addresses_;
+  std::vector<std::unique_ptr<Program>> programs_;
+  std::vector<std::unique_ptr<net::Stream>> streams_;
+  std::size_t requests_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("routers whose new discovery answers after two seconds learn of a drain before it counts as told") {
+  SlowDiscovery quick(0), slow(2 * kSecond);
+  Fleet fleet(6, Fleet::Peers::off, quick);
+  quick.publish(1, fleet.entries("SERVING"));
+  REQUIRE(run_until([&] { return quick.answers() >= fleet.size(); }, 10 * kSecond));
+  fleet.load_for(kSecond);
+  REQUIRE(fleet.draining.requests() > 0);
+  slow.publish(2, fleet.entries("DRAINING"));
+  const Time changed = net::now_us();
+  for (std::size_t i = 0; i < fleet.size(); ++i) fleet.move_discovery(i, slow);
+  run_until([] { return false; }, kForbiddenAfter);
+  fleet.load_for(kObserved);
+  INFO("calls of the slow discovery: " << slow.calls() << ", answered: " << slow.answers());
+  CHECK(fleet.staying.requests_after(changed + kForbiddenAfter) > 0);
+  CHECK(fleet.draining.requests_after(changed + kForbiddenAfter) == 0);
+}
+
+TEST_CASE("a drain that one router has from a whole list reaches a peer whose discovery is silent") {
+  SlowDiscovery quick(0), next(0), silent(0, SlowDiscovery::Behaviour::says_nothing);
+  Fleet fleet(2, Fleet::Peers::on, quick);
+  quick.publish(1, fleet.entries("SERVING"));
+  REQUIRE(run_until([&] { return quick.answers() >= fleet.size(); }, 10 * kSecond));
+  next.publish(2, fleet.entries("DRAINING"));
+  fleet.move_discovery(1, silent);
+  REQUIRE(run_until([&] { return silent.calls() > 0; }, 10 * kSecond));
+  fleet.move_discovery(0, next);
+  REQUIRE(run_until([&] { return next.answers() > 0; }, 10 * kSecond));
+  const Time changed = net::now_us();
+  run_until([] { return false; }, kForbiddenAfter);
+  fleet.load_for(kObserved);
+  CHECK(fleet.staying.requests_after(changed + kForbiddenAfter) > 0);
+  CHECK(fleet.draining.requests_after(changed + kForbiddenAfter) == 0);
+}
--- /dev/null
+++ b/tests/incidents/slow_discovery.cpp
@@ -0,0 +1,90 @@
+#include "slow_discovery.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace thornwick::testing {
+namespace {
+
+using standins::Server;
+
+constexpr Time kRenewalWithin =
+    200'000;  // after an answer: the next call on the connection goes on with the watch
+
+std::int64_t number_in(const std::string& target, const std::string& name) {
+  const auto at = target.find(name);
+  return at == std::string::npos ? -1 : std::atoll(target.c_str() + at + name.size());
+}
+
+std::string ok_answer(const std::string& type, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+SlowDiscovery::SlowDiscovery(Time turn, Behaviour behaviour)
+    : turn_(turn),
+      behaviour_(behaviour),
+      server_("127.0.0.1:0", [this](Server::Line& line) { asked(line); }) {}
+
+void SlowDiscovery::publish(std::uint64_t revision, std::string entries) {
+  revision_ = revision;
+  entries_ = std::move(entries);
+  for (const std::uint64_t watch : std::exchange(watches_, {})) answer(watch);
+}
+
+void SlowDiscovery::asked(Server::Line& line) {
+  ++calls_;
+  if (behaviour_ == Behaviour::says_nothing) return;
+  const auto answered = answered_at_.find(line.number);
+  const bool renews = answered != answered_at_.end() && net::now_us() - answered->second <= kRenewalWithin;
+  if (!renews) return answer_after(turn_, line.number);
+  const std::string target = line.reader.head().target;
+  if (number_in(target, "after=") != static_cast<std::int64_t>(revision_)) return answer(line.number);
+  watches_.push_back(line.number);
+  const std::uint64_t number = line.number;
+  timers_.emplace_back().start(1000 * number_in(target, "wait_ms="), [this, number] {
+    if (std::erase(watches_, number) > 0) answer(number);
+  });
+}
+
+void SlowDiscovery::answer_after(Time delay, std::uint64_t line_number) {
+  timers_.emplace_back().start(delay, [this, line_number] { answer(line_number); });
+}
+
+void SlowDiscovery::answer(std::uint64_t line_number) {
+  Server::Line* line = server_.find(line_number);
+  if (line == nullptr || !line->open()) return;  // its caller has given it up
+  ++answers_;
+  answered_at_[line_number] = net::now_us();
+  line->write(ok_answer("application/json", R"({"rev":)" + std::to_string(revision_) +
+                                                R"(,"all":true,"targets":[)" + entries_ + "]}"));
+}
+
+CountingReplica::CountingReplica()
+    : server_("127.0.0.1:0", [this](Server::Line& line) {
+        arrivals_.push_back(net::now_us());
+        line.write(ok_answer("text/event-stream", "data: [DONE]\n\n"));
+      }) {}
+
+std::size_t CountingReplica::requests_after(Time when) const {
+  return static_cast<std::size_t>(
+      std::count_if(arrivals_.begin(), arrivals_.end(), [when](Time at) { return at > when; }));
+}
+
+std::string CountingReplica::entry(const std::string& uid, const std::string& state) const {
+  return R"({"uid":")" + uid + R"(","endpoint":")" + address() +
+         R"(","az":"a","model":"m","pod_group":1,"state":")" + state +
+         R"(","capacity_hint":1.0,"boot_ms":0})";
+}
+
+bool run_until(const std::function<bool()>& holds, Time most) {
+  bool late = false;
+  net::Timer limit;
+  limit.start(most, [&] { late = true; });
+  while (!late && !holds()) g_main_context_iteration(nullptr, TRUE);
+  return holds();
+}
+
+}  // namespace thornwick::testing
