Let calls of discovery overlap instead of giving each up after 1.2 s

Cause: in a small group a call that asks for the list was given up after 1.2 s (kTry, as the limit of a call) and begun anew, at the end of discovery's queue. A discovery that needs longer for an answer, because it is crowded or slow, was therefore never read: each router asked again and again and was held to a list that it could not have. A longer limit alone trades this for a discovery that lost the call: it would be asked again too late. Change: the next call begins beside the one that is out, at the pace of before; the first whole answer ends all others. At most four are out, the oldest stays, the second oldest makes room; each ends after 30 s. One connection and its call are a class of their own (DiscoveryConnection), the client plans. A call that is passed over counts as failed as before. The log's rate limiter now gets a literal as its key: after a malformed answer it kept a view of an exception's text that was gone. Checks: the world of the schedule's test in virtual time now has several calls out; its old cases ask the same. An agent's next call is checked where its limit was.

--- a/src/core/discovery_schedule.cpp
+++ b/src/core/discovery_schedule.cpp
@@ -10,16 +10,16 @@
 
 // Kept free before the deadline, for messages that are on the way.
 constexpr Time kMargin = 100'000;
-// The limit of a call that does not wait, where two of them fit before the deadline.
+// How long an answer usually takes at the most: two such tries fit before the deadline.
 constexpr Time kTry = 1'200'000;
-// The same in a large group, whose calls queue up in discovery, which ends them sooner.
-constexpr Time kSlowTry = 5'000'000;
+// After which a call is given up, though it costs nothing but a connection: far beyond any queue.
+constexpr Time kLimit = 30'000'000;
 // Between two tries. Discovery bears the calls of a small group at this pace.
 constexpr Time kMinPeriod = 1'000'000;
 // How long a call waits for news: kMinWait + kGrace + 2 kTry < told_within.
 constexpr Time kMinWait = 2'500'000;
 constexpr Time kMaxWait = 5'000'000;
-// Between the end of the wait and the limit of a call.
+// After the end of the wait the answer is late.
 constexpr Time kGrace = 400'000;
 
 // Pauses of a large group, in max_poll_interval: four of them are allowed after a failed call. The second one
@@ -73,39 +73,45 @@
 }
 
 DiscoverySchedule::Call DiscoverySchedule::begin(Time now) {
-  call_begun_ = now;
-  waiting_ = renewing_ || options_.pushed;
-  if (options_.pushed) return {.wait = kAgentWait, .limit = kAgentWait + kAgentTry};
-  if (!waiting_) return {.wait = 0, .limit = in_time() ? kTry : kSlowTry};
-  const Time wait = std::clamp(spread_, kMinWait, kMaxWait);
-  return {.wait = wait, .limit = wait + kGrace};
+  Call call{.begun = now, .limit = now + kLimit};
+  if (options_.pushed) {
+    call.wait = kAgentWait;
+    call.next = now + kAgentWait + kAgentTry;
+  } else if (renewing_) {
+    call.wait = std::clamp(spread_, kMinWait, kMaxWait);
+    call.next = after_silence(now, call.wait);
+  } else {
+    call.next = from_beginning(now, in_time() ? kEarlyPart : kCongestedPart, 1, congested_period_);
+  }
+  renewing_ = false;
+  return call;
 }
 
-Time DiscoverySchedule::failed(Time now) {
+Time DiscoverySchedule::failed(Time now, const Call& call) {
   renewing_ = false;
   if (options_.pushed) return now + period_;
-  if (waiting_) return after_failed_wait(now);
+  // A subscription broke. Those of all routers may have, at the same moment.
+  if (call.wait > 0) return now + random_part_of(spread_);
   // Prevents a queue in which every call fails because it waits, and is repeated. A call that is rejected at
   // once costs discovery nothing.
-  const bool congested = now - call_begun_ >= kCongestedAfter;
-  if (congested) return from_beginning(now, in_time() ? kEarlyPart : kCongestedPart, 1, congested_period_);
-  if (in_time()) return from_beginning(now, kEarlyPart, 1, period_);
-  return from_beginning(now, 1, kLatePart, period_);
+  const bool congested = now - call.begun >= kCongestedAfter;
+  if (congested) return std::max(now, call.next);
+  if (in_time()) return std::max(now, from_beginning(call.begun, kEarlyPart, 1, period_));
+  return std::max(now, from_beginning(call.begun, 1, kLatePart, period_));
 }
 
-// A subscription fell silent or broke. Those of all routers may have, at the same moment. Where the pace
-// allows it, a silent one is followed at once: it ends at another moment at each router, as it began.
-Time DiscoverySchedule::after_failed_wait(Time now) const {
-  const bool silent = now - call_begun_ >= kMinWait;
-  if (silent && in_time()) return now;
-  return now + random_part_of(spread_);
+// A subscription that falls silent. Those of all routers may, at the same moment. Where the pace allows it,
+// the next call follows at once: the silence shows at another moment at each router, as its wait began.
+Time DiscoverySchedule::after_silence(Time begun, Time wait) const {
+  const Time silent = begun + wait + kGrace;
+  return in_time() ? silent : silent + random_part_of(spread_);
 }
 
-// Counts from the beginning of the failed call, so that a call that fails late does not delay the next one.
-// `least` and `most` are parts of the period.
-Time DiscoverySchedule::from_beginning(Time now, double least, double most, Time period) const {
+// Counts from the beginning of a call, so that one that fails late does not delay the next one. `least` and
+// `most` are parts of the period.
+Time DiscoverySchedule::from_beginning(Time begun, double least, double most, Time period) const {
   const double part = least + (most - least) * chance_();
-  return std::max(now, call_begun_ + static_cast<Time>(part * static_cast<double>(period)));
+  return begun + static_cast<Time>(part * static_cast<double>(period));
 }
 
 }  // namespace thornwick::core
--- a/src/core/discovery_schedule.hpp
+++ b/src/core/discovery_schedule.hpp
@@ -1,11 +1,17 @@
 // Decides when a router calls discovery, how long each call may wait for news, and when it is given up. No
-// I/O: the clock and the random numbers are handed in; net/endpoint_table.cpp makes the calls.
+// I/O: the clock and the random numbers are handed in; net/discovery_client.cpp makes the calls.
+//
+// A call without an answer is not given up when the next one is due: the next one begins beside it, and
+// whichever answers first counts. So a discovery that is gone, or that has lost a call, is asked again soon,
+// and one that needs long for each answer, because its queue is full, is heard all the same. A limit of a
+// call that is shorter than such a queue would never let a router hear of it: each call would be given up,
+// and begun anew at the end of the queue.
 //
 // First guarantee, of time: whatever became of earlier calls, what discovery knows and can be asked for is in
 // the router's list within `told_within` of the latest moment at which the list was known to be complete. A
-// call that waits for news ends early enough, and a call that does not wait has a limit short enough, that
-// two more tries fit before the deadline; while discovery cannot be reached, the tries come so often that two
-// fit after its return.
+// call that waits for news ends early enough, and the next call comes soon enough, that two tries fit before
+// the deadline; while discovery cannot be reached, the tries come so often that two fit after its return.
+// Where discovery needs `l` for an answer, the list is that much older.
 //
 // Second guarantee, of load, which takes precedence in a large group: all routers together begin at most
 // kCallsPerS calls a second in the mean, whatever befell them all at once (a start, an outage, silence), and
@@ -17,6 +23,7 @@
 // routers, or with a discovery that bears fewer calls a second than a third of the number of routers.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 
@@ -29,6 +36,9 @@
  public:
   // All routers together. A shared discovery was seen to bear 14 to 20 calls a second (docs/questions.md).
   static constexpr double kCallsPerS = 12.8;
+  // Calls of one router that are out at the same time. When one more begins, the second oldest is given up:
+  // the oldest has waited longest in discovery's queue, and the youngest may have the only good connection.
+  static constexpr std::size_t kMaxCallsOut = 4;
 
   struct Options {
     Time told_within = 6'000'000;         // after this time the protocol takes routers to be informed
@@ -47,17 +57,19 @@
   Time first(Time now) const { return now + random_part_of(spread_); }
 
   struct Call {
+    Time begun = 0;
     Time wait = 0;   // for news; 0: the call asks for what is known now
-    Time limit = 0;  // from the beginning of the call until its whole answer has come
+    Time next = 0;   // when the next call begins, if there is no answer by then
+    Time limit = 0;  // when the call is given up
   };
-  // A call begins. The first call, and any after a failure, does not wait for news.
+  // A call begins. The first call, and any until the next answer, does not wait for news.
   Call begin(Time now);
   // The answer came complete, so that the list is up to date. The next call follows at once.
   void answered() { renewing_ = true; }
-  // The call failed, for whatever reason. Returns when the next call begins.
-  Time failed(Time now);
+  // The latest call failed, for whatever reason. Returns when the next one begins.
+  Time failed(Time now, const Call& call);
 
-  // Calls go to another discovery server from now on. A call that is out is over.
+  // Calls go to another discovery server from now on. Calls that are out are over.
   void turned() { renewing_ = false; }
 
   // Whether two tries fit into told_within at the pace of this group, so that the first guarantee holds.
@@ -65,16 +77,14 @@
 
  private:
   Time random_part_of(Time span) const;
-  Time after_failed_wait(Time now) const;
-  Time from_beginning(Time now, double least, double most, Time period) const;
+  Time after_silence(Time begun, Time wait) const;
+  Time from_beginning(Time begun, double least, double most, Time period) const;
 
   Options options_;
   Chance chance_;
   Time spread_ = 0;            // in which all routers may call once
   Time period_ = 0;            // from the beginning of a call that fails to that of the next
-  Time congested_period_ = 0;  // the same, where calls fail because they waited too long
-  Time call_begun_ = 0;        // of the latest call
-  bool waiting_ = false;       // the latest call waits for news
+  Time congested_period_ = 0;  // the same, where calls are not answered in time
   bool renewing_ = false;      // the latest call was answered: the next one renews the subscription
 };
 
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -1,24 +1,21 @@
 #include "net/discovery_client.hpp"
 
+#include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_01.hpp>
 #include <utility>
 
+#include "http/http.hpp"
 #include "logging/log.hpp"
 #include "net/endpoint_list.hpp"
-#include "net/http_status.hpp"
 #include "net/net_error.hpp"
 
 namespace thornwick::net {
 namespace {
 
-using http::BadMessage;
-using http::MessageReader;
-
 constexpr Time kWatchGap = 50'000;  // after an answer without news; a watch goes on for 200 ms
 constexpr Time kMicrosecondsPerMillisecond = 1000;
 constexpr std::string_view kLogPart = "route_table";
-constexpr std::size_t kMaxListBytes = 4UL * 1024 * 1024;
 
 Owned<GSocketAddress> discovery_address(const std::string& text) {
   auto address = parse_address(text);
@@ -42,43 +39,37 @@
 
 // ---------------------------------------------------------------- calling
 
-void DiscoveryClient::call() {
-  if (!calling_) send_request(has_revision_ ? Scope::changes : Scope::whole_list);
-}
+void DiscoveryClient::call() { send_request(has_revision_ ? Scope::changes : Scope::whole_list); }
 
 void DiscoveryClient::call_at(Time when) {
   next_call_.start(when - now_us(), [this] { call(); });
 }
 
 void DiscoveryClient::fetch() {
-  if (!calling_) send_request(Scope::whole_list);
+  if (calls_out_.empty()) send_request(Scope::whole_list);
 }
 
-// Guards against a mixture of two sources: the old call is dropped with whatever it may still answer, and the
-// old revision is not carried over, for the new address need not count as the old one did.
+// Guards against a mixture of two sources: the old calls are dropped with whatever they may still answer, and
+// the old revision is not carried over, for the new address need not count as the old one did.
 void DiscoveryClient::switch_to(const std::string& address) {
   address_ = discovery_address(address);
   options_.address = address;
-  call_limit_.stop();
-  drop_stream();
+  drop(std::move(idle_));
+  for (auto& out : std::exchange(calls_out_, {})) drop(std::move(out));
   has_revision_ = false;
   schedule_.turned();
   send_request(Scope::whole_list);
 }
 
 void DiscoveryClient::send_request(Scope scope) {
-  next_call_.stop();
-  calling_ = true;
   ++counters_.calls;
-  call_begun_ = now_us();
-  const auto planned = schedule_.begin(call_begun_);
-  request_ = request_text(scope, planned.wait);
-  // Every call has its limit: a discovery that vanished sends nothing and closes nothing.
-  call_limit_.start(planned.limit, [this] { fail("no answer in time"); });
-  reader_ = std::make_unique<MessageReader>(MessageReader::Kind::answer, kMaxListBytes);
-  body_.clear();
-  if (stream_ && stream_->open()) return stream_->write(request_);
-  connect();
+  const DiscoveryCall call{.number = counters_.calls, .plan = schedule_.begin(now_us())};
+  call_at(call.plan.next);
+  limit_calls_out(core::DiscoverySchedule::kMaxCallsOut - 1);
+  auto connection = take_connection();
+  if (!connection) return fail(call, {.kind = "no connection"});
+  connection->begin(call, request_text(scope, call.plan.wait));
+  calls_out_.push_back(std::move(connection));
 }
 
 std::string DiscoveryClient::request_text(Scope scope, Time wait) const {
@@ -89,99 +80,122 @@
   return http::write_head("GET " + path + " HTTP/1.1", {{"Host", options_.address}});
 }
 
-// ---------------------------------------------------------------- the connection
-
-// It may be one of this stream's own callbacks that wants another one.
-void DiscoveryClient::drop_stream() {
-  if (!stream_) return;
-  stream_->close();
-  deferred_delete(std::move(stream_));
-}
+// ---------------------------------------------------------------- connections
 
-void DiscoveryClient::connect() {
-  drop_stream();
-  stream_ = std::make_unique<Stream>(
-      Stream::Callbacks{.connected = [this] { stream_->write(request_); },
-                        .arrived = [this](std::string_view bytes) { on_bytes(bytes); },
-                        .drained = {},
-                        .ended = [this] { on_ended(); }});
-  if (!stream_->connect(address_.get())) {
-    call_limit_.start(0, [this] { fail("no connection"); });
+// Null: there is none to be had.
+std::unique_ptr<DiscoveryConnection> DiscoveryClient::take_connection() {
+  if (idle_ && idle_->open()) return std::move(idle_);
+  drop(std::move(idle_));
+  auto connection = connect();
+  if (connection || calls_out_.empty()) return connection;
+  // Without a free descriptor the oldest call makes room: its connection may be a dead one.
+  drop(std::move(calls_out_.front()));
+  calls_out_.erase(calls_out_.begin());
+  ++counters_.failures;
+  return connect();
+}
+
+// Null: it failed at once.
+std::unique_ptr<DiscoveryConnection> DiscoveryClient::connect() {
+  auto connection = std::make_unique<DiscoveryConnection>();
+  DiscoveryConnection& made = *connection;
+  made.on({.answered = [this, &made](const std::string& body) { on_answer(made, body); },
+           .failed = [this, &made](const CallFailure& failure) { on_failure(made, failure); }});
+  if (!connection->connect(address_.get())) return nullptr;
+  return connection;
+}
+
+// Gives the second oldest call up until no more than `most` are out (core/discovery_schedule.hpp).
+void DiscoveryClient::limit_calls_out(std::size_t most) {
+  while (calls_out_.size() > most) {
+    const auto given_up = calls_out_.begin() + (calls_out_.size() > 1 ? 1 : 0);
+    ++counters_.failures;
+    logging::debug(kLogPart) << "call " << (*given_up)->call().number << " of discovery is given up";
+    drop(std::move(*given_up));
+    calls_out_.erase(given_up);
   }
 }
 
-void DiscoveryClient::on_ended() {
-  if (calling_) return fail("the connection broke");
-  stream_->close();
+// It may be one of the connection's own callbacks that wants this.
+void DiscoveryClient::drop(std::unique_ptr<DiscoveryConnection> connection) {
+  if (!connection) return;
+  connection->close();
+  deferred_delete(std::move(connection));
 }
 
-void DiscoveryClient::on_bytes(std::string_view bytes) {
-  if (!calling_) return stream_->close();
-  reader_->feed(bytes);
-  try {
-    while (read_piece()) {
-    }
-  } catch (const BadMessage& bad) {
-    fail(bad.what());
-  }
+// Null: its call was given up meanwhile.
+std::unique_ptr<DiscoveryConnection> DiscoveryClient::take_out(const DiscoveryConnection& connection) {
+  const auto found = std::find_if(calls_out_.begin(), calls_out_.end(),
+                                  [&](const auto& out) { return out.get() == &connection; });
+  if (found == calls_out_.end()) return nullptr;
+  auto taken = std::move(*found);
+  calls_out_.erase(found);
+  return taken;
 }
 
-// False: there is no further piece, or the call is over. Throws BadMessage.
-bool DiscoveryClient::read_piece() {
-  switch (reader_->next()) {
-    case MessageReader::Piece::none: return false;
-    case MessageReader::Piece::head: return true;
-    case MessageReader::Piece::body:
-      body_ += reader_->take_body();
-      if (body_.size() <= kMaxListBytes) return true;
-      fail("the list is too long");
-      return false;
-    case MessageReader::Piece::end: on_answer(); return false;
-  }
-  return false;
-}
-
-// ---------------------------------------------------------------- the answer
+// ---------------------------------------------------------------- answers
 
-void DiscoveryClient::on_answer() {
-  call_limit_.stop();
-  if (!reader_->head().keeps_alive()) stream_->close();
-  if (reader_->head().status != kStatusOk) return fail("it answered with an error");
+void DiscoveryClient::on_answer(DiscoveryConnection& connection, const std::string& body) {
+  const DiscoveryCall call = connection.call();
   simdjson::dom::element list;
-  if (parser_.parse(body_).get(list) != simdjson::SUCCESS || !list.is_object()) return fail("no JSON");
-  if (is_too_old(list)) return fail("an older version than the one in use");
-  calling_ = false;
+  if (parser_.parse(body).get(list) != simdjson::SUCCESS || !list.is_object()) {
+    return on_failure(connection, {.kind = "no JSON"});
+  }
+  if (is_too_old(list)) return on_failure(connection, {.kind = "an older version than the one in use"});
+  drop(std::exchange(idle_, take_out(connection)));
+  limit_calls_out(0);
   const std::uint64_t revision_before = revision_;
   schedule_.answered();
   note_revision(list);
-  log_answer(list, revision_before);
+  log_answer(call, list, revision_before);
   callbacks_.list(list);
-  schedule_after_list(revision_before);
+  schedule_after_list(call, revision_before);
 }
 
-void DiscoveryClient::schedule_after_list(std::uint64_t revision_before) {
+// The latest call alone decides when the next one begins: one of the earlier ones is nothing to wait for.
+void DiscoveryClient::on_failure(DiscoveryConnection& connection, const CallFailure& failure) {
+  const DiscoveryCall call = connection.call();
+  drop(take_out(connection));
+  fail(call, failure);
+}
+
+void DiscoveryClient::fail(const DiscoveryCall& call, const CallFailure& failure) {
+  ++counters_.failures;
+  const bool due = log_limiter_.due(now_us(), failure.kind);
+  const auto level = due ? logging::Level::info : logging::Level::debug;
+  logging::Line line(level, kLogPart);
+  line << "a call of discovery failed: " << logging::field("reason", failure.kind);
+  if (!failure.detail.empty()) line << " (" << logging::field("detail", failure.detail) << ")";
+  describe_call(line, call);
+  if (call.number == counters_.calls) call_at(schedule_.failed(now_us(), call.plan));
+  if (!options_.calls.pushed) callbacks_.failed();
+}
+
+void DiscoveryClient::schedule_after_list(const DiscoveryCall& call, std::uint64_t revision_before) {
+  if (!calls_out_.empty()) return;  // whoever took the list over has asked for another one
   // Guards against a discovery that gives no version to wait behind, and one that does not wait: the loop
   // would spin.
-  if (!has_revision_) return call_at(schedule_.failed(now_us()));
+  if (!has_revision_) return call_at(schedule_.failed(now_us(), call.plan));
   if (revision_ == revision_before) return call_at(now_us() + kWatchGap);
   // At once: a watch goes on only if the next call comes within 200 ms.
-  call();
+  this->call();
 }
 
 // An answer without news is a debug line: every watch ends in one.
-void DiscoveryClient::log_answer(simdjson::dom::element list, std::uint64_t revision_before) const {
+void DiscoveryClient::log_answer(const DiscoveryCall& call, simdjson::dom::element list,
+                                 std::uint64_t revision_before) const {
   const auto level = revision_ == revision_before ? logging::Level::debug : logging::Level::info;
   const std::string whole = is_whole_list(list) ? "yes" : "no";
-  describe_call(logging::Line(level, kLogPart)
-                << "discovery answered: revision " << logging::field("revision", revision_) << " after "
-                << logging::field("revision_before", revision_before)
-                << ", whole=" << logging::field("whole", whole));
+  logging::Line line(level, kLogPart);
+  line << "discovery answered: revision " << logging::field("revision", revision_) << " after "
+       << logging::field("revision_before", revision_before) << ", whole=" << logging::field("whole", whole);
+  describe_call(line, call);
 }
 
 // Which call a line is about: its number, where it went, and how long it took.
-void DiscoveryClient::describe_call(logging::Line& line) const {
-  const Time took_ms = (now_us() - call_begun_) / kMicrosecondsPerMillisecond;
-  line << ", call " << logging::field("call", counters_.calls) << " to "
+void DiscoveryClient::describe_call(logging::Line& line, const DiscoveryCall& call) const {
+  const Time took_ms = (now_us() - call.plan.begun) / kMicrosecondsPerMillisecond;
+  line << ", call " << logging::field("call", call.number) << " to "
        << logging::field("discovery", options_.address) << " took " << logging::field("took_ms", took_ms)
        << " ms";
 }
@@ -210,17 +224,4 @@
   return now_us() - old_since_ < options_.bear_old;
 }
 
-void DiscoveryClient::fail(const char* reason) {
-  if (log_limiter_.due(now_us(), reason)) {
-    describe_call(logging::info(kLogPart)
-                  << "a call of discovery failed: " << logging::field("reason", reason));
-  }
-  ++counters_.failures;
-  call_limit_.stop();
-  if (stream_) stream_->close();
-  calling_ = false;
-  call_at(schedule_.failed(now_us()));
-  if (!options_.calls.pushed) callbacks_.failed();
-}
-
 }  // namespace thornwick::net
--- a/src/net/discovery_client.hpp
+++ b/src/net/discovery_client.hpp
@@ -1,5 +1,6 @@
-// The calls of discovery: one at a time over one kept connection, each with a limit, planned by
-// core::DiscoverySchedule so that a watch is always open or under way. Hands each new list to its owner.
+// The calls of discovery, planned by core::DiscoverySchedule so that a watch is always open or under way. A
+// call without an answer stays out while the next one begins beside it; the first whole answer ends all
+// others. Hands each new list to its owner.
 #pragma once
 
 #include <simdjson.h>
@@ -9,14 +10,13 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
+#include <vector>
 
 #include "core/discovery_schedule.hpp"
-#include "http/http.hpp"
 #include "logging/log.hpp"
 #include "logging/rate_limiter.hpp"
 #include "net/address.hpp"
-#include "net/stream.hpp"
+#include "net/discovery_connection.hpp"
 #include "net/timer.hpp"
 
 namespace thornwick::net {
@@ -50,7 +50,7 @@
   DiscoveryClient(const DiscoveryClient&) = delete;
   DiscoveryClient& operator=(const DiscoveryClient&) = delete;
 
-  // Asks for the whole list now, unless a call is under way.
+  // Asks for the whole list now, unless a call is out.
   void fetch();
   // Calls another address from now on, for its whole list first. Throws NetError, and then nothing has
   // changed.
@@ -67,17 +67,19 @@
   void call_at(Time when);
   void send_request(Scope scope);
   std::string request_text(Scope scope, Time wait) const;
-  void connect();
-  void drop_stream();
-  void on_ended();
-  void on_bytes(std::string_view bytes);
-  bool read_piece();
-  void on_answer();
-  void schedule_after_list(std::uint64_t revision_before);
+  std::unique_ptr<DiscoveryConnection> take_connection();
+  std::unique_ptr<DiscoveryConnection> connect();
+  void limit_calls_out(std::size_t most);
+  static void drop(std::unique_ptr<DiscoveryConnection> connection);
+  std::unique_ptr<DiscoveryConnection> take_out(const DiscoveryConnection& connection);
+  void on_answer(DiscoveryConnection& connection, const std::string& body);
+  void on_failure(DiscoveryConnection& connection, const CallFailure& failure);
+  void fail(const DiscoveryCall& call, const CallFailure& failure);
+  void schedule_after_list(const DiscoveryCall& call, std::uint64_t revision_before);
   bool is_too_old(simdjson::dom::element list);
-  void log_answer(simdjson::dom::element list, std::uint64_t revision_before) const;
-  void describe_call(logging::Line& line) const;
-  void fail(const char* reason);
+  void log_answer(const DiscoveryCall& call, simdjson::dom::element list,
+                  std::uint64_t revision_before) const;
+  void describe_call(logging::Line& line, const DiscoveryCall& call) const;
 
   Options options_;
   Callbacks callbacks_;
@@ -85,18 +87,13 @@
   core::DiscoverySchedule schedule_;
   Owned<GSocketAddress> address_;
   logging::RateLimiter log_limiter_;
-  std::unique_ptr<Stream> stream_;
-  std::unique_ptr<http::MessageReader> reader_;
-  std::string request_;
-  std::string body_;
-  Time call_begun_ = 0;  // of the latest call
-  Timer call_limit_;
+  std::vector<std::unique_ptr<DiscoveryConnection>> calls_out_;  // the oldest call first
+  std::unique_ptr<DiscoveryConnection> idle_;  // the one that answered last, until the next call; may be null
   Timer next_call_;
   simdjson::dom::parser parser_;
   std::uint64_t revision_ = 0;  // the latest one known, also of another address than now
   bool has_revision_ = false;   // calls may ask for what is newer than `revision_`
   Time old_since_ = 0;          // 0: the latest list was not too old
-  bool calling_ = false;
 };
 
 }  // namespace thornwick::net
--- a/tests/core/discovery_schedule.cpp
+++ b/tests/core/discovery_schedule.cpp
@@ -2,6 +2,7 @@
 // bear.
 #include "core/discovery_schedule.hpp"
 
+#include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_01.hpp>
 #include <catch2/catch.hpp>
@@ -29,13 +30,28 @@
 
 // Discovery: works through its calls in turn, those that were given up included; renewals pass the queue.
 struct World {
+  struct Call {
+    std::uint64_t number = 0;
+    DiscoverySchedule::Call plan;
+    std::optional<Time> renewal = {};  // when its watch answers; none: no watch that works
+    bool lost = false;            // discovery never answers it
+  };
   struct Router {
     std::unique_ptr<DiscoverySchedule> schedule;
-    std::optional<Time> next;     // when it calls
-    std::optional<Time> renewal;  // when its watch answers; none: no watch that works
-    Time ends = 0;                // the limit of the call that is out
-    bool out = false, waiting = false, lost = false, watched = false;
-    Time list_time = 0;  // its list is of this moment
+    Time next = 0;             // when it calls
+    std::deque<Call> out;      // the oldest call first
+    std::uint64_t latest = 0;  // number of the latest call
+    Time list_time = 0;        // its list is of this moment
+    Call* find(std::uint64_t number) {
+      const auto found =
+          std::find_if(out.begin(), out.end(), [&](auto& call) { return call.number == number; });
+      return found == out.end() ? nullptr : &*found;
+    }
+  };
+  struct Queued {
+    Router* router = nullptr;
+    std::uint64_t number = 0;
+    Time came = 0;
   };
 
   World(std::uint32_t count, double bears, std::uint64_t seed)
@@ -50,71 +66,80 @@
 
   bool away() const { return outage && now >= outage->from && now < outage->to; }
 
-  void fail(Router& router) {
-    router.out = false;
-    router.watched = false;
-    router.next = router.schedule->failed(now);
+  void fail(Router& router, std::uint64_t number) {
+    const Call call = *router.find(number);
+    std::erase_if(router.out, [&](const Call& out) { return out.number == number; });
+    if (number == router.latest) router.next = router.schedule->failed(now, call.plan);
   }
   void answer(Router& router) {
+    router.out.clear();
     router.list_time = now;
     router.schedule->answered();
-    const auto call = router.schedule->begin(now);  // at once: a renewal
-    router.out = true;
-    router.waiting = true;
-    router.watched = true;
-    router.renewal = now + call.wait;
-    router.ends = now + call.limit;
+    Call& renewal = add_call(router);  // at once
+    renewal.renewal = now + renewal.plan.wait;
+  }
+  Call& add_call(Router& router) {
+    if (router.out.size() >= DiscoverySchedule::kMaxCallsOut) router.out.erase(router.out.begin() + 1);
+    router.latest = ++last_number;
+    router.out.push_back({.number = router.latest, .plan = router.schedule->begin(now)});
+    router.next = router.out.back().plan.next;
+    return router.out.back();
   }
   void begin(Router& router) {
-    router.next.reset();
-    const auto call = router.schedule->begin(now);
+    Call& call = add_call(router);
     ++begun;
-    router.out = true;
-    router.lost = false;
-    router.waiting = false;
-    router.renewal.reset();
-    router.ends = now + call.limit;
     if (!away()) {
-      queue.push_back({&router, now});
+      queue.push_back({&router, call.number, now});
     } else if (outage->how == Away::says_nothing) {
-      router.lost = true;
+      call.lost = true;
     } else {
-      fail(router);
+      fail(router, call.number);
     }
   }
   // Open watches break, or say nothing more.
   void break_watches(bool silently) {
     for (auto& router : routers) {
-      if (!router.watched) continue;
-      router.renewal.reset();
-      if (!silently) fail(router);
+      for (std::size_t i = router.out.size(); i-- > 0;) {
+        Call& call = router.out[i];
+        if (!call.renewal) continue;
+        call.renewal.reset();
+        call.lost = true;
+        if (!silently) fail(router, call.number);
+      }
     }
   }
   void serve() {
     while (!queue.empty() && free_at <= now) {
-      auto [router, came] = queue.front();
+      const Queued first = queue.front();
+      // Each answer takes its turn; `latency` is what a queue of other callers adds to it.
+      if (now - first.came < latency) return;
       queue.pop_front();
       free_at = now + cost;
-      const bool there = router->out && !router->waiting && !router->lost && router->ends > now;
-      if (!there) continue;                      // given up, and paid for all the same
-      if (now - came > 2 * kSecond || away()) {  // it has waited too long
-        fail(*router);
+      const Call* call = first.router->find(first.number);
+      if (call == nullptr || call->lost) continue;                     // given up, and paid for all the same
+      if (now - first.came > latency + patience || away()) {  // it has waited too long
+        fail(*first.router, first.number);
         continue;
       }
-      answer(*router);
+      answer(*first.router);
     }
   }
+  void run_router(Router& router) {
+    for (const Call& call : router.out) {
+      if (call.renewal && now >= *call.renewal) return answer(router);
+    }
+    for (std::size_t i = router.out.size(); i-- > 0;) {
+      if (now >= router.out[i].plan.limit) fail(router, router.out[i].number);
+    }
+    if (now >= router.next) begin(router);
+  }
   void run_to(Time end) {
     for (; now < end; now += kStep) {
       if (outage && now == outage->from) {
         queue.clear();
         break_watches(outage->how == Away::says_nothing);
       }
-      for (auto& router : routers) {
-        if (router.out && router.waiting && router.renewal && now >= *router.renewal) answer(router);
-        if (router.out && now >= router.ends) fail(router);
-        if (router.next && now >= *router.next) begin(router);
-      }
+      for (auto& router : routers) run_router(router);
       serve();
       const std::size_t second = static_cast<std::size_t>(now / kSecond);
       if (second >= per_second.size()) per_second.resize(second + 1);
@@ -140,7 +165,10 @@
   Time now = 0, free_at = 0, cost;
   boost::random::mt19937_64 dice;
   std::vector<Router> routers;
-  std::deque<std::pair<Router*, Time>> queue;
+  std::deque<Queued> queue;
+  Time latency = 0;
+  Time patience = 2 * kSecond;  // a call that waited longer fails
+  std::uint64_t last_number = 0;
   std::optional<Outage> outage;
   std::uint64_t begun = 0, counted = 0;
   std::vector<double> per_second;
@@ -196,9 +224,49 @@
         DiscoverySchedule::kCallsPerS + 4 * std::sqrt(DiscoverySchedule::kCallsPerS / 5));
 }
 
+TEST_CASE(
+    "a discovery that needs long for each answer is heard all the same, and no call is lost to the next") {
+  const auto routers = GENERATE(1u, 6u, 30u, 300u);
+  const auto latency = GENERATE(as<Time>{}, 1'300'000, 2 * kSecond, 4 * kSecond, 9 * kSecond);
+  const auto seed = GENERATE(1u, 2u, 3u);
+  CAPTURE(routers, latency, seed);
+  World world(routers, 20, seed);
+  world.latency = latency;
+  // One round of calls, and for each router its turn.
+  const Time round = routers <= 30 ? kSecond : 24 * kSecond;
+  world.run_to(round + latency + routers * kSecond / 20 + kSecond);
+  for (const auto& router : world.routers) CHECK(router.list_time > 0);
+}
+
+TEST_CASE("a queue of calls that each wait nearly too long is worked off: who has an answer leaves it") {
+  const auto bears = GENERATE(2.2, 3.5);  // calls a second: fewer than six routers begin
+  const auto seed = GENERATE(1u, 2u, 3u, 4u);
+  CAPTURE(bears, seed);
+  World world(6, bears, seed);
+  world.patience = 3 * kSecond;
+  world.run_to(10 * kSecond);
+  CHECK(world.oldest() <= kInformedWithin);
+  // All lose their watches at the same moment.
+  world.break_watches(false);
+  const Time broken = world.now;
+  world.run_to(broken + kInformedWithin);
+  for (const auto& router : world.routers) CHECK(router.list_time > broken);
+}
+
+TEST_CASE("a call that is lost is followed by another beside it, while calls out are bounded") {
+  World world(1, 20, 1);
+  world.outage = Outage{kStep, 60 * kSecond, Away::says_nothing};
+  world.run_to(60 * kSecond);
+  CHECK(world.begun >= 60 / 3);
+  CHECK(world.routers[0].out.size() <= DiscoverySchedule::kMaxCallsOut);
+  world.run_to(60 * kSecond + kInformedWithin);
+  CHECK(world.routers[0].list_time > 60 * kSecond);
+}
+
 TEST_CASE("an agent is asked again soon, whatever became of a call") {
   DiscoverySchedule schedule({.routers = 300, .pushed = true}, [] { return 0.5; });
   CHECK(schedule.first(0) == 0);
-  CHECK(schedule.begin(0).limit < 2 * kSecond);
-  CHECK(schedule.failed(kSecond) <= kSecond + kSecond / 10);
+  const auto call = schedule.begin(0);
+  CHECK(call.next < 2 * kSecond);
+  CHECK(schedule.failed(kSecond, call) <= kSecond + kSecond / 10);
 }
