Report drains that come with a whole list to peers, as those of a delta

Cause: for a whole list DrainTracker emptied its record of ready replicas before it looked at the entries. A replica that the list shows draining was then no longer known as ready, so its drain was no change and was not reported. For the same reason a whole list with another start of a replica did not end a peer's report on the earlier one. Change: only replicas that the list omits leave the record before the entries are compared.

--- a/src/core/drain_tracker.cpp
+++ b/src/core/drain_tracker.cpp
@@ -45,12 +45,15 @@
   DeciderDecorator::on_endpoints(now, scope, reported);
 }
 
-// A whole list replaces the one before. Replicas that it does not name are gone.
+// A whole list replaces the one before. Replicas that it does not name are gone; the others stay known as they
+// were, so that update_listed() sees what has changed.
 void DrainTracker::remove_unlisted(Time now, std::span<const Endpoint> entries, Reporting reporting) {
-  auto unlisted = std::exchange(listed_, {});
+  auto unlisted = listed_;
   for (const Endpoint& entry : entries) unlisted.erase(entry.id);
-  if (reporting == Reporting::off) return;
-  for (const auto& [id, replica] : unlisted) schedule_report(now, replica);
+  for (const auto& [id, replica] : unlisted) {
+    listed_.erase(id);
+    if (reporting == Reporting::on) schedule_report(now, replica);
+  }
 }
 
 void DrainTracker::update_listed(Time now, const Endpoint& entry, Reporting reporting) {
--- a/tests/core/discovery_schedule.cpp
+++ b/tests/core/discovery_schedule.cpp
@@ -34,7 +34,7 @@
     std::uint64_t number = 0;
     DiscoverySchedule::Call plan;
     std::optional<Time> renewal = {};  // when its watch answers; none: no watch that works
-    bool lost = false;            // discovery never answers it
+    bool lost = false;                 // discovery never answers it
   };
   struct Router {
     std::unique_ptr<DiscoverySchedule> schedule;
@@ -116,7 +116,7 @@
       queue.pop_front();
       free_at = now + cost;
       const Call* call = first.router->find(first.number);
-      if (call == nullptr || call->lost) continue;                     // given up, and paid for all the same
+      if (call == nullptr || call->lost) continue;            // given up, and paid for all the same
       if (now - first.came > latency + patience || away()) {  // it has waited too long
         fail(*first.router, first.number);
         continue;
--- a/tests/core/drain_tracker.cpp
+++ b/tests/core/drain_tracker.cpp
@@ -81,6 +81,10 @@
     routers[i].drains->on_endpoints(now, EndpointUpdate::delta, {&entry, 1});
     collect(i);
   }
+  void learn_whole_list(std::uint32_t i, const std::vector<Endpoint>& entries) {
+    routers[i].drains->on_endpoints(now, EndpointUpdate::full, entries);
+    collect(i);
+  }
   void run_to(Time end) {
     while (!events.empty() && events.begin()->first <= end) {
       auto event = events.extract(events.begin());
@@ -139,6 +143,37 @@
   CHECK(group.informed(3) == 300);
 }
 
+TEST_CASE(
+    "a drain that comes with a whole list is reported like one that comes alone, and so is an omission") {
+  Group group(3, 10, 0, 7);
+  auto list = replicas(10);
+  list[2].state = EndpointState::draining;  // replica 3
+  list.erase(list.begin() + 4);             // replica 5
+  group.learn_whole_list(0, list);
+  group.run_to(group.now + kSecond / 2);
+  CHECK(group.informed(3) == 3);
+  CHECK(group.informed(4) == 0);
+  CHECK(group.informed(5) == 2);  // the first router's decider sees by itself what its list omits
+  // The same list again is no news.
+  const int messages = group.messages;
+  group.learn_whole_list(0, list);
+  group.run_to(group.now + kSecond / 2);
+  CHECK(group.messages == messages);
+}
+
+TEST_CASE("a whole list with another start of a replica ends a peer's report about the earlier one") {
+  Group group(2, 10, 0, 7);
+  group.learn(0, drained(3));
+  group.run_to(group.now + kSecond / 2);
+  REQUIRE(group.informed(3) == 2);
+  auto list = replicas(10);
+  group.learn_whole_list(1, list);
+  CHECK(group.informed(3) == 2);
+  list[2].started = 2000 * kSecond;
+  group.learn_whole_list(1, list);
+  CHECK(group.informed(3) == 1);
+}
+
 TEST_CASE("another's word ends with the router's own list, with another start, or in time") {
   Group group(2, 10, 0, 7);
   group.learn(0, drained(3));
