Let drain reports hold for earlier starts, and while discovery sends no list

Ruled out: believing reports without an end; a peer that lies would take out half of the replicas for as long as discovery is down. Change: starts are compared by their order (0: long ago), and a later one ends a report or is covered by it; a report holds up to twice its time where no list has come from discovery since.

--- a/src/core/drain_tracker.cpp
+++ b/src/core/drain_tracker.cpp
@@ -13,6 +13,12 @@
 // The token of this decorator's timer; those of the routing policy count from 0.
 constexpr std::uint32_t kTimerToken = 0xfffffff1;
 
+// Compares starts modulo 2^32 milliseconds; 0 stands for a start long ago.
+bool is_earlier(std::uint32_t start, std::uint32_t other) {
+  if (start == other || other == 0) return false;
+  return start == 0 || static_cast<std::int32_t>(start - other) < 0;
+}
+
 }  // namespace
 
 DrainTracker::DrainTracker(std::unique_ptr<Decider> inner, const Settings& settings, Observer observer)
@@ -35,18 +41,19 @@
   if (scope == EndpointUpdate::failed) return DeciderDecorator::on_endpoints(now, scope, entries);
   // A list from before the start of this process holds no news.
   const Reporting reporting = scope == EndpointUpdate::cached ? Reporting::off : Reporting::on;
+  if (scope != EndpointUpdate::cached) list_received_ = now;
   if (scope != EndpointUpdate::delta) remove_unlisted(now, entries, reporting);
   std::vector<Endpoint> reported;
   for (const Endpoint& entry : entries) {
     update_listed(now, entry, reporting);
     reported.push_back(with_reported_state(entry));
   }
-  std::erase_if(reported_until_, [&](const auto& report) { return !listed_.contains(report.first); });
+  std::erase_if(peer_reports_, [&](const auto& report) { return !listed_.contains(report.first); });
   DeciderDecorator::on_endpoints(now, scope, reported);
 }
 
-// A whole list replaces the one before. Replicas that it does not name are gone; the others stay known as they
-// were, so that update_listed() sees what has changed.
+// A whole list replaces the one before. Replicas that it does not name are gone; the others stay known as
+// they were, so that update_listed() sees what has changed.
 void DrainTracker::remove_unlisted(Time now, std::span<const Endpoint> entries, Reporting reporting) {
   auto unlisted = listed_;
   for (const Endpoint& entry : entries) unlisted.erase(entry.id);
@@ -57,28 +64,35 @@
 }
 
 void DrainTracker::update_listed(Time now, const Endpoint& entry, Reporting reporting) {
+  if (entry.state == EndpointState::ready) return update_ready(entry);
+  update_not_ready(now, entry, reporting);
+}
+
+void DrainTracker::update_ready(const Endpoint& entry) {
+  const auto report = peer_reports_.find(entry.id);
+  if (report != peer_reports_.end() && is_earlier(report->second.start, start_stamp(entry)))
+    peer_reports_.erase(report);
+  listed_[entry.id] = entry;
+  pending_reports_.erase(entry.id);  // the drain is over
+}
+
+void DrainTracker::update_not_ready(Time now, const Endpoint& entry, Reporting reporting) {
   const auto listed = listed_.find(entry.id);
-  const bool was_ready = listed != listed_.end();
-  if (entry.state == EndpointState::ready) {
-    // Peers have reported another start than this one.
-    if (was_ready && listed->second.started != entry.started) reported_until_.erase(entry.id);
-    listed_[entry.id] = entry;
-  } else if (was_ready) {
-    if (reporting == Reporting::on) schedule_report(now, listed->second);
-    listed_.erase(listed);
-  }
+  if (listed == listed_.end()) return;
+  if (reporting == Reporting::on) schedule_report(now, listed->second);
+  listed_.erase(listed);
 }
 
 Endpoint DrainTracker::with_reported_state(const Endpoint& entry) const {
   Endpoint reported = entry;
-  if (entry.state == EndpointState::ready && reported_until_.contains(entry.id))
+  if (entry.state == EndpointState::ready && peer_reports_.contains(entry.id))
     reported.state = EndpointState::draining;
   return reported;
 }
 
 // What a peer has reported already is not reported again.
 void DrainTracker::schedule_report(Time now, const Endpoint& replica) {
-  if (reported_until_.erase(replica.id) > 0 || pending_reports_.size() >= kMaxKeptReports) return;
+  if (peer_reports_.erase(replica.id) > 0 || pending_reports_.size() >= kMaxKeptReports) return;
   random_ = mix(random_);
   const Time send_at = now + static_cast<Time>(unit(random_) * static_cast<double>(max_delay()));
   pending_reports_[replica.id] = {.start = start_stamp(replica), .send_at = send_at};
@@ -102,29 +116,34 @@
   const auto pending = pending_reports_.find(report.replica);
   if (pending != pending_reports_.end() && pending->second.start == report.start)
     pending_reports_.erase(pending);
-  if (reported_until_.contains(report.replica)) return;
+  const auto known = peer_reports_.find(report.replica);
+  if (known != peer_reports_.end() && !is_earlier(known->second.start, report.start)) return;
   if (!is_listed(report)) return observe(ReportFate::unlisted, report.replica);
-  if (!within_limit()) return observe(ReportFate::over_limit, report.replica);
+  if (known == peer_reports_.end() && !within_limit()) return observe(ReportFate::over_limit, report.replica);
   observe(ReportFate::accepted, report.replica);
-  const double lifetime = kReportLifetimeFactor * static_cast<double>(settings_.max_poll_interval);
-  const Time until = now + static_cast<Time>(lifetime);
-  reported_until_[report.replica] = until;
+  const Time until = now + lifetime();
+  peer_reports_[report.replica] = {.start = report.start, .received = now, .until = until};
   const Endpoint entry = with_reported_state(listed_.at(report.replica));
   DeciderDecorator::on_endpoints(now, EndpointUpdate::delta, {&entry, 1});
   set_timer(until);
 }
 
+// A report about a later start than the own list has is true of the earlier one as well: that one has ended.
 bool DrainTracker::is_listed(const DrainReport& report) const {
   const auto listed = listed_.find(report.replica);
-  return listed != listed_.end() && start_stamp(listed->second) == report.start;
+  return listed != listed_.end() && !is_earlier(report.start, start_stamp(listed->second));
 }
 
 // A faulty peer can take out half of the ready replicas at the most.
 bool DrainTracker::within_limit() const {
-  const std::size_t reported = reported_until_.size() + 1;
+  const std::size_t reported = peer_reports_.size() + 1;
   return 2 * reported <= listed_.size() && reported <= kMaxKeptReports;
 }
 
+Time DrainTracker::lifetime() const {
+  return static_cast<Time>(kReportLifetimeFactor * static_cast<double>(settings_.max_poll_interval));
+}
+
 // ---------------------------------------------------------------- timers
 
 void DrainTracker::on_timer(Time now, std::uint32_t token) {
@@ -133,38 +152,58 @@
   expire_reports(now);
 }
 
-void DrainTracker::send_due_reports(Time now) {
+// As many as fit into one message.
+std::vector<DrainReport> DrainTracker::take_due_reports(Time now) {
   std::vector<DrainReport> due;
   for (auto at = pending_reports_.begin(); at != pending_reports_.end() && due.size() < kMaxDrainReports;) {
-    if (at->second.send_at > now) {
+    const PendingReport& pending = at->second;
+    if (pending.send_at > now) {
       ++at;
       continue;
     }
-    due.push_back({.replica = at->first, .start = at->second.start});
+    due.push_back({.replica = at->first, .start = pending.start});
     observe(ReportFate::sent, at->first);
     at = pending_reports_.erase(at);
   }
+  return due;
+}
+
+void DrainTracker::send_due_reports(Time now) {
+  const std::vector<DrainReport> due = take_due_reports(now);
   if (due.empty()) return;
   own_actions_.push_back(
       {.kind = ActionKind::message_peer, .token = Gossip::kAll, .message = encode_drain_message(due)});
-  if (!pending_reports_.empty()) set_timer(now + max_delay());
+  if (pending_reports_.empty()) return;
+  const auto next =
+      std::min_element(pending_reports_.begin(), pending_reports_.end(),
+                       [](const auto& a, const auto& b) { return a.second.send_at < b.second.send_at; });
+  set_timer(next->second.send_at);
 }
 
 // What the router's own list has not confirmed in time is ready again.
 void DrainTracker::expire_reports(Time now) {
-  for (auto at = reported_until_.begin(); at != reported_until_.end();) {
-    if (at->second > now) {
+  for (auto at = peer_reports_.begin(); at != peer_reports_.end();) {
+    if (at->second.until <= now && may_hold_longer(now, at->second)) {
+      at->second.until = at->second.received + 2 * lifetime();
+      set_timer(at->second.until);
+    }
+    if (at->second.until > now) {
       ++at;
       continue;
     }
     observe(ReportFate::expired, at->first);
     const auto listed = listed_.find(at->first);
-    at = reported_until_.erase(at);
+    at = peer_reports_.erase(at);
     if (listed != listed_.end())
       DeciderDecorator::on_endpoints(now, EndpointUpdate::delta, {&listed->second, 1});
   }
 }
 
+// No list has come from discovery that could have confirmed or refuted the report.
+bool DrainTracker::may_hold_longer(Time now, const PeerReport& report) const {
+  return list_received_ <= report.received && now < report.received + 2 * lifetime();
+}
+
 void DrainTracker::set_timer(Time when) {
   own_actions_.push_back({.kind = ActionKind::set_timer, .time = when, .token = kTimerToken});
 }
--- a/src/core/drain_tracker.hpp
+++ b/src/core/drain_tracker.hpp
@@ -2,9 +2,11 @@
 // one of them does, whatever became of its own subscription to discovery. Decorates the decider; no I/O.
 //
 // Guarantees: a peer's report only ever takes a replica out and never brings one in, and reports never take
-// out more than half of the ready replicas. A report is about one start of the replica; it ends when the own
-// list says the same, when a delta names another start, or after kReportLifetimeFactor x max_poll_interval.
-// A message that is cut, too long or of another version changes nothing and is counted.
+// out more than half of the ready replicas. A report is about one start of the replica and holds for earlier
+// ones, too; it ends when the own list says the same or names a later start. Without that it ends after
+// kReportLifetimeFactor x max_poll_interval, or after twice that time if no list has come from discovery
+// meanwhile: a list that is not renewed does not refute a peer. A message that is cut, too long or of another
+// version changes nothing and is counted.
 //
 // A router that learns of a drain waits for a random part of max_delay() before it reports it, and does not
 // report what it has heard from a peer meanwhile. The number of reports of a drain therefore depends on how
@@ -52,11 +54,17 @@
   std::uint64_t unreadable() const { return unreadable_; }
 
  private:
-  // A drain that this router has learned of itself and may have to report.
+  // A drain that this router has learned of itself and has to report.
   struct PendingReport {
     std::uint32_t start = 0;
     Time send_at = 0;
   };
+  // A drain that a peer has reported.
+  struct PeerReport {
+    std::uint32_t start = 0;
+    Time received = 0;
+    Time until = 0;
+  };
 
   // Whether a change of the list is reported to the peers.
   enum class Reporting { off, on };
@@ -64,13 +72,18 @@
   Time max_delay() const;
   void remove_unlisted(Time now, std::span<const Endpoint> entries, Reporting reporting);
   void update_listed(Time now, const Endpoint& entry, Reporting reporting);
+  void update_ready(const Endpoint& entry);
+  void update_not_ready(Time now, const Endpoint& entry, Reporting reporting);
   void schedule_report(Time now, const Endpoint& replica);
   void apply_report(Time now, const DrainReport& report);
   bool is_listed(const DrainReport& report) const;
   bool within_limit() const;
+  Time lifetime() const;
   void observe(ReportFate fate, ReplicaId replica) const;
   Endpoint with_reported_state(const Endpoint& entry) const;
+  std::vector<DrainReport> take_due_reports(Time now);
   void send_due_reports(Time now);
+  bool may_hold_longer(Time now, const PeerReport& report) const;
   void expire_reports(Time now);
   void set_timer(Time when);
 
@@ -78,8 +91,9 @@
   Observer observer_;
   std::uint64_t random_;
   std::map<ReplicaId, Endpoint> listed_;                // the ready replicas of the router's own list
-  std::map<ReplicaId, Time> reported_until_;            // of these, those that peers have reported
-  std::map<ReplicaId, PendingReport> pending_reports_;  // not yet sent
+  std::map<ReplicaId, PeerReport> peer_reports_;        // about replicas in `listed_`
+  std::map<ReplicaId, PendingReport> pending_reports_;  // to be sent, or sent again
+  Time list_received_ = 0;                              // the latest list of discovery
   std::vector<Action> own_actions_;                     // besides those of the inner decider
   std::uint64_t unreadable_ = 0;
 };
--- a/tests/core/drain_tracker.cpp
+++ b/tests/core/drain_tracker.cpp
@@ -174,6 +174,36 @@
   CHECK(group.informed(3) == 1);
 }
 
+TEST_CASE(
+    "a report on a later start than the own list has takes the replica out, one on an earlier does not") {
+  Group group(2, 10, 0, 7);
+  group.deliver_later(0, 1, drain_report(3, 2999));
+  group.deliver_later(0, 1, drain_report(4, 4001));
+  group.run_to(group.now + kSecond);
+  CHECK(group.informed(3) == 0);
+  CHECK(group.informed(4) == 1);
+  // A start of long ago is 0, and earlier than any other.
+  group.learn(1, {.id = 5, .started = 0});
+  group.deliver_later(0, 1, drain_report(5, 5000));
+  group.deliver_later(0, 1, drain_report(6, 0));
+  group.run_to(group.now + kSecond);
+  CHECK(group.informed(5) == 1);
+  CHECK(group.informed(6) == 0);
+}
+
+TEST_CASE("a report holds longer where discovery has sent no list since, but not for ever") {
+  const bool list_comes = GENERATE(false, true);
+  Group group(2, 10, 0, 7);
+  group.learn(0, drained(5));
+  group.run_to(group.now + kSecond);
+  REQUIRE(group.informed(5) == 2);
+  if (list_comes) group.learn(1, {.id = 6, .started = 6 * kSecond});
+  group.run_to(group.now + 30 * kSecond);
+  CHECK(group.informed(5) == (list_comes ? 1 : 2));
+  group.run_to(group.now + 30 * kSecond);
+  CHECK(group.informed(5) == 1);
+}
+
 TEST_CASE("another's word ends with the router's own list, with another start, or in time") {
   Group group(2, 10, 0, 7);
   group.learn(0, drained(3));
