Repeat drain reports in small groups, and report drains of replicas never known as ready

Cause: two more ways in which a peer never hears of a drain, found by looking for the incident's class. And a router reported only replicas that it had known as ready: one that started with an old list, or missed a version, may be the first to hear of the drain and kept silent. Ruled out: the same in large groups, where a message costs as many deliveries as there are routers and many routers learn of a drain by themselves; above 40 routers nothing changes. Change: up to 40 routers the sender repeats a report twice, a second apart, which is within the 6 s after which routers count as informed; what a list shows draining and this router did not know as draining is reported, once for each start. The end of a drain ends its repeats.

--- a/src/core/drain_tracker.cpp
+++ b/src/core/drain_tracker.cpp
@@ -56,7 +56,11 @@
 // they were, so that update_listed() sees what has changed.
 void DrainTracker::remove_unlisted(Time now, std::span<const Endpoint> entries, Reporting reporting) {
   auto unlisted = listed_;
-  for (const Endpoint& entry : entries) unlisted.erase(entry.id);
+  auto draining = std::exchange(draining_, {});
+  for (const Endpoint& entry : entries) {
+    unlisted.erase(entry.id);
+    if (auto kept = draining.extract(entry.id)) draining_.insert(std::move(kept));
+  }
   for (const auto& [id, replica] : unlisted) {
     listed_.erase(id);
     if (reporting == Reporting::on) schedule_report(now, replica);
@@ -73,14 +77,28 @@
   if (report != peer_reports_.end() && is_earlier(report->second.start, start_stamp(entry)))
     peer_reports_.erase(report);
   listed_[entry.id] = entry;
+  draining_.erase(entry.id);
   pending_reports_.erase(entry.id);  // the drain is over
 }
 
 void DrainTracker::update_not_ready(Time now, const Endpoint& entry, Reporting reporting) {
   const auto listed = listed_.find(entry.id);
-  if (listed == listed_.end()) return;
-  if (reporting == Reporting::on) schedule_report(now, listed->second);
-  listed_.erase(listed);
+  if (reporting == Reporting::on && is_news(entry))
+    schedule_report(now, listed == listed_.end() ? entry : listed->second);
+  listed_.erase(entry.id);
+  if (entry.state == EndpointState::draining) {
+    draining_[entry.id] = start_stamp(entry);
+  } else {
+    draining_.erase(entry.id);
+  }
+}
+
+// Whether peers may not know yet that this replica is not ready.
+bool DrainTracker::is_news(const Endpoint& entry) const {
+  if (listed_.contains(entry.id)) return true;
+  if (!is_small_group() || entry.state != EndpointState::draining) return false;
+  const auto known = draining_.find(entry.id);
+  return known == draining_.end() || known->second != start_stamp(entry);
 }
 
 Endpoint DrainTracker::with_reported_state(const Endpoint& entry) const {
@@ -95,7 +113,8 @@
   if (peer_reports_.erase(replica.id) > 0 || pending_reports_.size() >= kMaxKeptReports) return;
   random_ = mix(random_);
   const Time send_at = now + static_cast<Time>(unit(random_) * static_cast<double>(max_delay()));
-  pending_reports_[replica.id] = {.start = start_stamp(replica), .send_at = send_at};
+  pending_reports_[replica.id] = {
+      .start = start_stamp(replica), .send_at = send_at, .repeats_left = is_small_group() ? kRepeats : 0};
   set_timer(send_at);
 }
 
@@ -152,18 +171,19 @@
   expire_reports(now);
 }
 
-// As many as fit into one message.
+// As many as fit into one message; those that are to be repeated stay.
 std::vector<DrainReport> DrainTracker::take_due_reports(Time now) {
   std::vector<DrainReport> due;
   for (auto at = pending_reports_.begin(); at != pending_reports_.end() && due.size() < kMaxDrainReports;) {
-    const PendingReport& pending = at->second;
+    PendingReport& pending = at->second;
     if (pending.send_at > now) {
       ++at;
       continue;
     }
     due.push_back({.replica = at->first, .start = pending.start});
     observe(ReportFate::sent, at->first);
-    at = pending_reports_.erase(at);
+    pending.send_at = now + kRepeatAfter;
+    at = pending.repeats_left-- > 0 ? std::next(at) : pending_reports_.erase(at);
   }
   return due;
 }
--- a/src/core/drain_tracker.hpp
+++ b/src/core/drain_tracker.hpp
@@ -10,7 +10,10 @@
 //
 // A router that learns of a drain waits for a random part of max_delay() before it reports it, and does not
 // report what it has heard from a peer meanwhile. The number of reports of a drain therefore depends on how
-// long a message takes, not on the number of routers that learned of it at the same moment.
+// long a message takes, not on the number of routers that learned of it at the same moment. In a group of up
+// to kMaxSmallGroup routers, where few learn of a drain and each message is cheap, the sender repeats its
+// report kRepeats times, and a router also reports drains of replicas that it has never known as ready: its
+// own list may be the first that any router has for a while.
 #pragma once
 
 #include <functional>
@@ -28,6 +31,12 @@
   static constexpr Time kMaxDelay = 400'000;
   // In max_poll_interval: the longest pause of a large group between two calls of discovery.
   static constexpr double kReportLifetimeFactor = 2.4;
+  // Routers; above it reports are not repeated.
+  static constexpr std::uint32_t kMaxSmallGroup = 40;
+  // Further messages about a drain, and the time between them: all within the time after which the protocol
+  // takes routers to be informed. A datagram may be lost.
+  static constexpr int kRepeats = 2;
+  static constexpr Time kRepeatAfter = 1'000'000;
   // Bounds the memory: reports that are kept, from peers and for them.
   static constexpr std::size_t kMaxKeptReports = 1024;
 
@@ -58,6 +67,7 @@
   struct PendingReport {
     std::uint32_t start = 0;
     Time send_at = 0;
+    int repeats_left = 0;
   };
   // A drain that a peer has reported.
   struct PeerReport {
@@ -74,11 +84,13 @@
   void update_listed(Time now, const Endpoint& entry, Reporting reporting);
   void update_ready(const Endpoint& entry);
   void update_not_ready(Time now, const Endpoint& entry, Reporting reporting);
+  bool is_news(const Endpoint& entry) const;
   void schedule_report(Time now, const Endpoint& replica);
   void apply_report(Time now, const DrainReport& report);
   bool is_listed(const DrainReport& report) const;
   bool within_limit() const;
   Time lifetime() const;
+  bool is_small_group() const { return settings_.group_size <= kMaxSmallGroup; }
   void observe(ReportFate fate, ReplicaId replica) const;
   Endpoint with_reported_state(const Endpoint& entry) const;
   std::vector<DrainReport> take_due_reports(Time now);
@@ -91,6 +103,7 @@
   Observer observer_;
   std::uint64_t random_;
   std::map<ReplicaId, Endpoint> listed_;                // the ready replicas of the router's own list
+  std::map<ReplicaId, std::uint32_t> draining_;         // starts of its draining replicas
   std::map<ReplicaId, PeerReport> peer_reports_;        // about replicas in `listed_`
   std::map<ReplicaId, PendingReport> pending_reports_;  // to be sent, or sent again
   Time list_received_ = 0;                              // the latest list of discovery
--- a/tests/core/drain_tracker.cpp
+++ b/tests/core/drain_tracker.cpp
@@ -174,6 +174,42 @@
   CHECK(group.informed(3) == 1);
 }
 
+TEST_CASE("in a small group a report is repeated until it is there, and a lost one costs a second") {
+  const auto seed = GENERATE(range(1u, 21u));
+  CAPTURE(seed);
+  Group group(6, 10, 0.2, seed);
+  group.learn(0, drained(3));
+  group.run_to(group.now + 6 * kSecond);
+  CHECK(group.messages == 1 + DrainTracker::kRepeats);
+  CHECK(group.informed(3) >= 5);
+  // Nothing is repeated for ever, nor after the drain is over.
+  group.learn(0, drained(4));
+  group.run_to(group.now + kSecond / 2);
+  group.learn(0, {.id = 4, .started = 4 * kSecond});
+  const int messages = group.messages;
+  group.run_to(group.now + 6 * kSecond);
+  CHECK(group.messages == messages);
+}
+
+TEST_CASE("a drain of a replica that this router has never known as ready reaches those that have it so") {
+  Group group(4, 10, 0, 7);
+  auto list = replicas(10);
+  list.erase(list.begin() + 2);
+  group.learn_whole_list(0, list);
+  group.run_to(group.now + 6 * kSecond);
+  REQUIRE(group.messages == 1 + DrainTracker::kRepeats);  // replica 3 is gone
+  group.routers[1].drains->on_endpoints(group.now, EndpointUpdate::delta, std::vector{Endpoint{.id = 11}});
+  group.learn(0, {.id = 11, .state = EndpointState::draining});
+  group.run_to(group.now + kSecond / 2);
+  CHECK(group.routers[1].states.at(11) == EndpointState::draining);
+  // It is reported once, however often a list names it.
+  group.run_to(group.now + 6 * kSecond);
+  const int messages = group.messages;
+  group.learn(0, {.id = 11, .state = EndpointState::draining});
+  group.run_to(group.now + 6 * kSecond);
+  CHECK(group.messages == messages);
+}
+
 TEST_CASE(
     "a report on a later start than the own list has takes the replica out, one on an earlier does not") {
   Group group(2, 10, 0, 7);
--- a/tests/incidents/drain.cpp
+++ b/tests/incidents/drain.cpp
@@ -12,8 +12,10 @@
 #include "../net/program.hpp"
 #include "../net/socket.hpp"
 #include "slow_discovery.hpp"
+#include "standins/faulty_link.hpp"
 
 using namespace thornwick;
+using standins::FaultyLink;
 using testing::CountingReplica;
 using testing::Program;
 using testing::run_until;
@@ -35,30 +37,34 @@
   return socket_of_a_moment.bind_any();
 }
 
-// Several routers as processes, in front of two replicas of which the first is going to drain.
+// Several routers as processes, in front of two replicas of which the first is going to drain. Two of them
+// can be each other's peers, over a link on which datagrams may be lost.
 class Fleet {
  public:
-  enum class Peers { off, on };
+  enum class Peers { off, two_over_a_link };
 
   Fleet(std::size_t routers, Peers peers, const SlowDiscovery& discovery) {
     for (std::size_t i = 0; i < routers; ++i) {
       paths_.push_back("thornwick-incident-" + std::to_string(getpid()) + "-" + std::to_string(i) + ".json");
-      if (peers == Peers::on) peer_addresses_.push_back(free_datagram_address());
-    }
-    for (std::size_t i = 0; i < routers; ++i) {
-      write_config(i, discovery);
-      programs_.push_back(std::make_unique<Program>(paths_[i]));
-      const std::string serves = programs_.back()->says(" serves on ");
-      REQUIRE(serves.find("127.0.0.1:") != std::string::npos);
-      const auto begin = serves.find("127.0.0.1:");
-      addresses_.push_back(serves.substr(begin, serves.find(',') - begin));
     }
+    if (peers == Peers::two_over_a_link) open_link();
+    start_all(discovery);
   }
   ~Fleet() {
     for (const auto& path : paths_) std::remove(path.c_str());
   }
 
   std::size_t size() const { return programs_.size(); }
+  // Ends all processes with this signal, and starts them anew with the list that they had at first.
+  void restart_all(int signal, const SlowDiscovery& discovery) {
+    for (auto& program : programs_) {
+      program->signal(signal);
+      program->status();
+    }
+    programs_.clear();
+    addresses_.clear();
+    start_all(discovery);
+  }
   // A new configuration with another discovery, and SIGHUP.
   void move_discovery(std::size_t router, const SlowDiscovery& discovery) {
     write_config(router, discovery);
@@ -87,36 +93,55 @@
     }
   }
 
+  // Datagrams from the first router to the second.
+  void lose_datagrams(double part) { link_->set(FaultyLink::there, {.lose = part}); }
+  std::uint64_t lost_datagrams() const { return link_->metrics().lost; }
+
   CountingReplica draining, staying;
   std::string entries(const std::string& state_of_first) const {
     return draining.entry("s-01", state_of_first) + "," + staying.entry("s-02", "SERVING");
   }
 
  private:
+  void start_all(const SlowDiscovery& discovery) {
+    for (std::size_t i = 0; i < paths_.size(); ++i) {
+      write_config(i, discovery);
+      programs_.push_back(std::make_unique<Program>(paths_[i]));
+      const std::string serves = programs_.back()->says(" serves on ");
+      const auto begin = serves.find("127.0.0.1:");
+      REQUIRE(begin != std::string::npos);
+      addresses_.push_back(serves.substr(begin, serves.find(',') - begin));
+    }
+  }
+  void open_link() {
+    link_ = std::make_unique<FaultyLink>(1);
+    datagram_addresses_ = {free_datagram_address(), free_datagram_address()};
+    link_->one_is(datagram_addresses_[0], "");
+    link_->other_is(datagram_addresses_[1], "");
+  }
+  // The part of a configuration about peers; empty where there are none.
+  std::string peers_of(std::size_t router) const {
+    if (!link_) return "";
+    const std::string& own = datagram_addresses_[router];
+    const std::string other = router == 0 ? link_->other_at() : link_->one_at();
+    const std::string all = router == 0 ? own + R"(",")" + other : other + R"(",")" + own;
+    return R"("peer_listen":")" + own + R"(","peers":[")" + all + R"("],"peers_all":")" + other + R"(",)";
+  }
   void write_config(std::size_t router, const SlowDiscovery& discovery) const {
-    const bool peers = !peer_addresses_.empty();
-    std::string addresses;
-    for (const auto& address : peer_addresses_)
-      addresses += (addresses.empty() ? "\"" : ",\"") + address + "\"";
     const std::string fresh = paths_[router] + ".new";
     std::ofstream(fresh)
         << R"({"name":"n)" << router << R"(","listen":"127.0.0.1:0","discovery":")" << discovery.address()
         << R"(","seed":"f)" << router << R"(","limits":{"cores":1,"memory_mb":96,"sockets":256},)"
-        << R"("known":{"rev":1,"all":true,"targets":[)" << entries("SERVING") << "]},"
-        << (peers ? R"("peer_listen":")" + peer_addresses_[router] + R"(","peers":[)" + addresses +
-                        R"(],"peers_all":")" + other_peer(router) + R"(",)"
-                  : "")
-        << R"("settings":{"registryMode":"ask","groupSize":)" << size_for_settings() << R"(,"rank":)"
-        << router << R"(,"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],)"
+        << R"("known":{"rev":1,"all":true,"targets":[)" << entries("SERVING") << "]}," << peers_of(router)
+        << R"("settings":{"registryMode":"ask","groupSize":)" << paths_.size() << R"(,"rank":)" << router
+        << R"(,"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],)"
         << R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5,"peers":)"
-        << (peers ? "true" : "false") << "}}}";
+        << (link_ ? "true" : "false") << "}}}";
     REQUIRE(std::rename(fresh.c_str(), paths_[router].c_str()) == 0);
   }
-  std::size_t size_for_settings() const { return paths_.size(); }
-  // Where a message to all peers goes: in a group of two, to the other one.
-  std::string other_peer(std::size_t router) const { return peer_addresses_[1 - router]; }
 
-  std::vector<std::string> paths_, peer_addresses_, addresses_;
+  std::unique_ptr<FaultyLink> link_;
+  std::vector<std::string> paths_, datagram_addresses_, addresses_;
   std::vector<std::unique_ptr<Program>> programs_;
   std::vector<std::unique_ptr<net::Stream>> streams_;
   std::size_t requests_ = 0;
@@ -143,7 +168,7 @@
 
 TEST_CASE("a drain that one router has from a whole list reaches a peer whose discovery is silent") {
   SlowDiscovery quick(0), next(0), silent(0, SlowDiscovery::Behaviour::says_nothing);
-  Fleet fleet(2, Fleet::Peers::on, quick);
+  Fleet fleet(2, Fleet::Peers::two_over_a_link, quick);
   quick.publish(1, fleet.entries("SERVING"));
   REQUIRE(run_until([&] { return quick.answers() >= fleet.size(); }, 10 * kSecond));
   next.publish(2, fleet.entries("DRAINING"));
@@ -157,3 +182,35 @@
   CHECK(fleet.staying.requests_after(changed + kForbiddenAfter) > 0);
   CHECK(fleet.draining.requests_after(changed + kForbiddenAfter) == 0);
 }
+
+TEST_CASE("a report that the network loses reaches the peer all the same") {
+  SlowDiscovery quick(0), silent(0, SlowDiscovery::Behaviour::says_nothing);
+  Fleet fleet(2, Fleet::Peers::two_over_a_link, quick);
+  quick.publish(1, fleet.entries("SERVING"));
+  REQUIRE(run_until([&] { return quick.answers() >= fleet.size(); }, 10 * kSecond));
+  fleet.move_discovery(1, silent);
+  REQUIRE(run_until([&] { return silent.calls() > 0; }, 10 * kSecond));
+  fleet.lose_datagrams(1);
+  quick.publish(2, fleet.entries("DRAINING"));
+  REQUIRE(run_until([&] { return fleet.lost_datagrams() > 0; }, 10 * kSecond));
+  fleet.lose_datagrams(0);
+  const Time changed = net::now_us();
+  run_until([] { return false; }, kForbiddenAfter);
+  fleet.load_for(kObserved);
+  CHECK(fleet.staying.requests_after(changed + kForbiddenAfter) > 0);
+  CHECK(fleet.draining.requests_after(changed + kForbiddenAfter) == 0);
+}
+
+TEST_CASE(
+    "routers killed and started again behind a slow discovery, with an old list, learn of a drain in time") {
+  SlowDiscovery slow(2 * kSecond);
+  slow.publish(2, "");
+  Fleet fleet(4, Fleet::Peers::off, slow);
+  slow.publish(2, fleet.entries("DRAINING"));
+  fleet.restart_all(SIGKILL, slow);
+  const Time started = net::now_us();
+  run_until([] { return false; }, kForbiddenAfter);
+  fleet.load_for(kObserved);
+  CHECK(fleet.staying.requests_after(started + kForbiddenAfter) > 0);
+  CHECK(fleet.draining.requests_after(started + kForbiddenAfter) == 0);
+}
