--- a/src/logging/log.hpp
+++ b/src/logging/log.hpp
@@ -18,6 +18,8 @@
 // Lines below the threshold are not written, and their text is not formatted. Info unless it is set.
 Level threshold();
 void set_threshold(Level level);
+// Whether debug lines are written: for callers whose fields cost more than a look at this.
+[[nodiscard]] inline bool writes_debug() { return threshold() <= Level::debug; }
 // Text unless it is set.
 void set_format(Format format);
 
--- a/src/net/downstream_connection.cpp
+++ b/src/net/downstream_connection.cpp
@@ -40,10 +40,11 @@
 
 void DownstreamServer::Connection::leave(std::string_view reason) {
   if (std::exchange(left_, true)) return;
-  logging::debug("clients") << "a connection closes: " << logging::field("reason", reason)
-                            << ", request in work: "
-                            << logging::field("request",
-                                              state_ == State::busy ? request_id_ : std::string("none"));
+  if (logging::writes_debug()) {
+    const std::string request = state_ == State::busy ? request_id_ : "none";
+    logging::debug("clients") << "a connection closes: " << logging::field("reason", reason)
+                              << ", request in work: " << logging::field("request", request);
+  }
   stream_.close();
   limit_.stop();
   next_step_.stop();
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -38,8 +38,10 @@
 
 void UpstreamPool::Connection::close(std::string_view reason) {
   if (std::exchange(closed_, true)) return;
-  describe_attempt(logging::debug("servers")) << "a connection to " << logging::field("endpoint", endpoint_)
-                                              << " closes: " << logging::field("reason", reason);
+  if (logging::writes_debug()) {
+    describe_attempt(logging::debug("servers")) << "a connection to " << logging::field("endpoint", endpoint_)
+                                                << " closes: " << logging::field("reason", reason);
+  }
   job_ = Job::none;
   limit_.stop();
   stream_.close();
@@ -274,7 +276,7 @@
 void UpstreamPool::Connection::finish(Outcome outcome, Reuse reuse, std::string_view reason) {
   const Job job = std::exchange(job_, Job::none);
   if (job == Job::none) return;
-  if (job == Job::attempt) {
+  if (job == Job::attempt && logging::writes_debug()) {
     describe_attempt(logging::debug("servers")) << "an attempt ends: " << logging::field("reason", reason);
   }
   limit_.stop();
--- a/src/node/request_recorder.cpp
+++ b/src/node/request_recorder.cpp
@@ -78,6 +78,7 @@
   using logging::field;
   const char* const ending = name_of(summary.ending);
   const bool due = log_limiter_.due(net::now_us(), ending);
+  if (!due && !logging::writes_debug()) return;
   const Time took_ms = (summary.ended - summary.arrived) / kMicrosecondsPerMillisecond;
   logging::Line(due ? logging::Level::info : logging::Level::debug, "exchange")
           .with("exchange", summary.request.id)
@@ -89,7 +90,7 @@
 void RequestRecorder::record(const core::RequestSummary& summary) {
   if (const auto state = metrics_state(summary.ending)) metrics_.ended(summary.request.cls, *state);
   if (summary.ending != core::Ending::served) log_without_answer(summary);
-  const bool debug_logged = logging::threshold() <= logging::Level::debug;
+  const bool debug_logged = logging::writes_debug();
   if (flow_exporter_ == nullptr && !debug_logged) return;
   if (debug_logged && summary.ending == core::Ending::served) log_served(summary, replica_name(summary));
   if (flow_exporter_ == nullptr) return;
