--- a/tests/incidents/drain.cpp
+++ b/tests/incidents/drain.cpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "../net/program.hpp"
-#include "../net/socket.hpp"
+#include "router_config.hpp"
 #include "slow_discovery.hpp"
 #include "standins/faulty_link.hpp"
 
@@ -20,7 +20,6 @@
 using testing::Program;
 using testing::run_until;
 using testing::SlowDiscovery;
-using testing::Socket;
 
 namespace {
 
@@ -31,19 +30,16 @@
 constexpr Time kBetweenRequests = 50'000;
 constexpr Time kObserved = 2 * kSecond;
 
-// An address that nobody uses, for a UDP socket of a router.
-std::string free_datagram_address() {
-  Socket socket_of_a_moment(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
-  return socket_of_a_moment.bind_any();
-}
-
 // Several routers as processes, in front of two replicas of which the first is going to drain. Two of them
 // can be each other's peers, over a link on which datagrams may be lost.
 class Fleet {
  public:
   enum class Peers { off, two_over_a_link };
+  enum class Draining { one_of_two, two_of_three };
 
-  Fleet(std::size_t routers, Peers peers, const SlowDiscovery& discovery) {
+  Fleet(std::size_t routers, Peers peers, const SlowDiscovery& discovery,
+        Draining draining_replicas = Draining::one_of_two)
+      : draining_replicas_(draining_replicas) {
     for (std::size_t i = 0; i < routers; ++i) {
       paths_.push_back("thornwick-incident-" + std::to_string(getpid()) + "-" + std::to_string(i) + ".json");
     }
@@ -75,10 +71,7 @@
     auto stream = std::make_unique<net::Stream>(net::Stream::Callbacks{
         .connected = [] {}, .arrived = [](std::string_view) {}, .drained = [] {}, .ended = [] {}});
     REQUIRE(stream->connect(net::parse_address(addresses_[router]).get()));
-    const std::string id = std::to_string(++requests_);
-    stream->write("POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Request-ID: r" + id +
-                  "\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\nX-Route-Key: " +
-                  id + "\r\nX-Attrs: prompt_len=4,max_out=4\r\nContent-Length: 2\r\n\r\n{}");
+    stream->write(testing::write_router_request(++requests_));
     streams_.push_back(std::move(stream));
   }
   void request_all() {
@@ -97,9 +90,12 @@
   void lose_datagrams(double part) { link_->set(FaultyLink::there, {.lose = part}); }
   std::uint64_t lost_datagrams() const { return link_->metrics().lost; }
 
-  CountingReplica draining, staying;
-  std::string entries(const std::string& state_of_first) const {
-    return draining.entry("s-01", state_of_first) + "," + staying.entry("s-02", "SERVING");
+  CountingReplica draining, staying, also_draining;
+  // The list, with this state of the replicas that are going to drain.
+  std::string entries(const std::string& state) const {
+    const std::string two = draining.entry("s-01", state) + "," + staying.entry("s-02", "SERVING");
+    if (draining_replicas_ == Draining::one_of_two) return two;
+    return two + "," + also_draining.entry("s-03", state);
   }
 
  private:
@@ -115,31 +111,26 @@
   }
   void open_link() {
     link_ = std::make_unique<FaultyLink>(1);
-    datagram_addresses_ = {free_datagram_address(), free_datagram_address()};
+    datagram_addresses_ = {testing::free_datagram_address(), testing::free_datagram_address()};
     link_->one_is(datagram_addresses_[0], "");
     link_->other_is(datagram_addresses_[1], "");
   }
-  // The part of a configuration about peers; empty where there are none.
-  std::string peers_of(std::size_t router) const {
-    if (!link_) return "";
-    const std::string& own = datagram_addresses_[router];
-    const std::string other = router == 0 ? link_->other_at() : link_->one_at();
-    const std::string all = router == 0 ? own + R"(",")" + other : other + R"(",")" + own;
-    return R"("peer_listen":")" + own + R"(","peers":[")" + all + R"("],"peers_all":")" + other + R"(",)";
-  }
   void write_config(std::size_t router, const SlowDiscovery& discovery) const {
+    testing::RouterConfig config{.rank = router,
+                                 .group_size = paths_.size(),
+                                 .discovery = discovery.address(),
+                                 .known = entries("SERVING")};
+    if (link_) {
+      config.all_peers = router == 0 ? link_->other_at() : link_->one_at();
+      config.peers = {config.all_peers, config.all_peers};
+      config.peers[router] = datagram_addresses_[router];
+    }
     const std::string fresh = paths_[router] + ".new";
-    std::ofstream(fresh)
-        << R"({"name":"n)" << router << R"(","listen":"127.0.0.1:0","discovery":")" << discovery.address()
-        << R"(","seed":"f)" << router << R"(","limits":{"cores":1,"memory_mb":96,"sockets":256},)"
-        << R"("known":{"rev":1,"all":true,"targets":[)" << entries("SERVING") << "]}," << peers_of(router)
-        << R"("settings":{"registryMode":"ask","groupSize":)" << paths_.size() << R"(,"rank":)" << router
-        << R"(,"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],)"
-        << R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5,"peers":)"
-        << (link_ ? "true" : "false") << "}}}";
+    std::ofstream(fresh) << testing::write_router_config(config);
     REQUIRE(std::rename(fresh.c_str(), paths_[router].c_str()) == 0);
   }
 
+  Draining draining_replicas_;
   std::unique_ptr<FaultyLink> link_;
   std::vector<std::string> paths_, datagram_addresses_, addresses_;
   std::vector<std::unique_ptr<Program>> programs_;
@@ -201,6 +192,22 @@
   CHECK(fleet.draining.requests_after(changed + kForbiddenAfter) == 0);
 }
 
+TEST_CASE("drains of more than half of the replicas reach a peer whose discovery is silent") {
+  SlowDiscovery quick(0), silent(0, SlowDiscovery::Behaviour::says_nothing);
+  Fleet fleet(2, Fleet::Peers::two_over_a_link, quick, Fleet::Draining::two_of_three);
+  quick.publish(1, fleet.entries("SERVING"));
+  REQUIRE(run_until([&] { return quick.answers() >= fleet.size(); }, 10 * kSecond));
+  fleet.move_discovery(1, silent);
+  REQUIRE(run_until([&] { return silent.calls() > 0; }, 10 * kSecond));
+  quick.publish(2, fleet.entries("DRAINING"));
+  const Time changed = net::now_us();
+  run_until([] { return false; }, kForbiddenAfter);
+  fleet.load_for(kObserved);
+  CHECK(fleet.staying.requests_after(changed + kForbiddenAfter) > 0);
+  CHECK(fleet.draining.requests_after(changed + kForbiddenAfter) == 0);
+  CHECK(fleet.also_draining.requests_after(changed + kForbiddenAfter) == 0);
+}
+
 TEST_CASE(
     "routers killed and started again behind a slow discovery, with an old list, learn of a drain in time") {
   SlowDiscovery slow(2 * kSecond);
--- /dev/null
+++ b/tests/incidents/peer_reports.cpp
@@ -0,0 +1,159 @@
+// What becomes of a peer's report that a replica drains: at an attempt whose connection is still coming up, and
+// at a process that takes over. A router runs as a process, and the test is its peer.
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <vector>
+
+#include "../net/program.hpp"
+#include "../net/socket.hpp"
+#include "../store/scratch.hpp"
+#include "core/drain_message.hpp"
+#include "net/endpoint_list.hpp"
+#include "router_config.hpp"
+#include "slow_discovery.hpp"
+
+using namespace thornwick;
+using testing::CountingReplica;
+using testing::Program;
+using testing::run_until;
+using testing::Scratch;
+using testing::SlowDiscovery;
+using testing::Socket;
+
+namespace {
+
+constexpr Time kSecond = 1'000'000;
+constexpr std::size_t kRequests = 12;
+constexpr const char* kDrainingUid = "s-01";
+
+// A replica whose connections do not come up before it lets them in: its queue is full.
+class LateReplica {
+ public:
+  LateReplica() : address_(listener_.bind_any()) {
+    REQUIRE(listen(listener_.fd(), 0) == 0);
+    REQUIRE(in_the_way_.connect_to(address_));
+  }
+  std::string entry() const {
+    return R"({"uid":")" + std::string(kDrainingUid) + R"(","endpoint":")" + address_ +
+           R"(","az":"a","model":"m","pod_group":1,"state":"SERVING","capacity_hint":1.0,"boot_ms":0})";
+  }
+  // Those that wait come up as soon as they try again.
+  void let_in() {
+    REQUIRE(listen(listener_.fd(), 64) == 0);
+    listener_.accept_one();  // the one in the way
+  }
+  // Takes what has come up, without waiting.
+  void accept_all() {
+    pollfd asked{listener_.fd(), POLLIN, 0};
+    while (poll(&asked, 1, 0) == 1) accepted_.push_back(listener_.accept_one());
+  }
+  std::size_t connections() const { return accepted_.size(); }
+  // Connections on which a request has begun.
+  std::size_t requests() const {
+    std::size_t begun = 0;
+    for (const Socket& connection : accepted_) {
+      char first = 0;
+      if (recv(connection.fd(), &first, 1, MSG_PEEK | MSG_DONTWAIT) == 1) ++begun;
+    }
+    return begun;
+  }
+
+ private:
+  Socket listener_, in_the_way_;
+  std::string address_;
+  std::vector<Socket> accepted_;
+};
+
+// A router with one peer, which is the test, and with a discovery that never answers.
+class RouterWithPeer {
+ public:
+  explicit RouterWithPeer(const std::string& known)
+      : discovery_(0, SlowDiscovery::Behaviour::says_nothing),
+        peer_(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0)),
+        config_(scratch_.path("config.json")),
+        tmp_(scratch_.path("tmp")) {
+    std::filesystem::create_directory(tmp_);
+    const std::string peer_address = peer_.bind_any();
+    datagram_address_ = testing::free_datagram_address();
+    std::ofstream(config_) << testing::write_router_config({.group_size = 2,
+                                                           .discovery = discovery_.address(),
+                                                           .known = known,
+                                                           .peers = {datagram_address_, peer_address},
+                                                           .all_peers = peer_address,
+                                                           .admin_endpoint = "127.0.0.1:0",
+                                                           .dial_limit_us = 5 * kSecond});
+    start();
+  }
+
+  // Begins a process; where one serves already, the new one takes over.
+  void start() {
+    programs_.push_back(std::make_unique<Program>(config_, "text", tmp_));
+    const std::string serves = programs_.back()->says(" serves on ");
+    const auto begin = serves.find("127.0.0.1:");
+    REQUIRE(begin != std::string::npos);
+    address_ = serves.substr(begin, serves.find(',') - begin);
+  }
+  Program& first() { return *programs_.front(); }
+
+  void report_drain() {
+    REQUIRE(peer_.connect_to(datagram_address_));
+    const core::DrainReport report{.replica = net::preferred_id(kDrainingUid), .start = 0};
+    peer_.send_all(core::encode_drain_message({&report, 1}));
+    REQUIRE(first().says("a peer reports that it drains") != "");
+  }
+  // Each on a connection of its own; answers are not waited for.
+  void request(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      REQUIRE(clients_.emplace_back().connect_to(address_));
+      clients_.back().send_all(testing::write_router_request(clients_.size()));
+    }
+  }
+
+ private:
+  SlowDiscovery discovery_;
+  Socket peer_;
+  Scratch scratch_;
+  std::string config_, tmp_, datagram_address_, address_;
+  std::vector<std::unique_ptr<Program>> programs_;
+  std::vector<Socket> clients_;
+};
+
+}  // namespace
+
+TEST_CASE("a request whose connection comes up after a peer has reported the drain goes elsewhere") {
+  LateReplica late;
+  CountingReplica staying;
+  RouterWithPeer router(late.entry() + "," + staying.entry("s-02", "SERVING"));
+  router.request(kRequests);
+  run_until([&] { return staying.requests() == kRequests; }, kSecond / 2);
+  REQUIRE(staying.requests() < kRequests);  // the others wait for their connections
+  router.report_drain();
+  late.let_in();
+  run_until(
+      [&] {
+        late.accept_all();
+        return staying.requests() == kRequests;
+      },
+      3 * kSecond);
+  late.accept_all();
+  CHECK(late.connections() > 0);
+  CHECK(late.requests() == 0);
+  CHECK(staying.requests() == kRequests);
+}
+
+TEST_CASE("a process that takes over sends nothing to a replica that a peer has reported before") {
+  CountingReplica draining, staying;
+  RouterWithPeer router(draining.entry(kDrainingUid, "SERVING") + "," + staying.entry("s-02", "SERVING"));
+  router.report_drain();
+  router.start();
+  REQUIRE(router.first().says("handed-over: a successor serves") != "");
+  router.request(kRequests);
+  run_until([&] { return staying.requests() == kRequests; }, 3 * kSecond);
+  CHECK(staying.requests() == kRequests);
+  CHECK(draining.requests() == 0);
+}
--- /dev/null
+++ b/tests/incidents/router_config.hpp
@@ -0,0 +1,30 @@
+// The configuration file of a router that runs as a process in a test of an incident.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace thornwick::testing {
+
+struct RouterConfig {
+  std::size_t rank = 0;        // also in its name
+  std::size_t group_size = 1;  // routers that call the same discovery
+  std::string discovery = {};
+  std::string known = {};  // the list that it starts with, as entries in discovery's form; its version is 1
+  // Addresses of its datagrams, by rank, its own included; empty: it has no peers.
+  std::vector<std::string> peers = {};
+  std::string all_peers = {};        // where a datagram to all of them goes
+  std::string admin_endpoint = {};   // empty: none
+  long dial_limit_us = 120'000;  // until a connection to a replica has to be up
+};
+
+// The file's text, with one class of request, `chat`, and one tenant, `acme`.
+std::string write_router_config(const RouterConfig& config);
+
+// One request of them for a router, with an id of its own and five seconds for its answer.
+std::string write_router_request(std::size_t number);
+
+// An address on loopback that nobody uses, for a UDP socket of a router.
+std::string free_datagram_address();
+
+}  // namespace thornwick::testing
