Hold reports beyond half of the ready replicas back, and believe them when the own list is old

Cause: DrainTracker dropped a peer's report once half of the ready replicas were out by reports, as a guard against a faulty peer. A router whose discovery is silent then went on sending to replicas that peers knew to drain, since its own old list spoke for them. Change: such a report is kept. Ruled out: no guard at all (a peer with an empty list would take out everything at once, also beside a discovery that answers), and two peers instead of one (routers do not repeat what others have reported).

--- a/src/core/drain_tracker.cpp
+++ b/src/core/drain_tracker.cpp
@@ -50,6 +50,7 @@
   }
   std::erase_if(peer_reports_, [&](const auto& report) { return !listed_.contains(report.first); });
   DeciderDecorator::on_endpoints(now, scope, reported);
+  review_held_back(now);  // there may be more ready replicas than before
 }
 
 // A whole list replaces the one before. Replicas that it does not name are gone; the others stay known as
@@ -103,11 +104,15 @@
 
 Endpoint DrainTracker::with_reported_state(const Endpoint& entry) const {
   Endpoint reported = entry;
-  if (entry.state == EndpointState::ready && peer_reports_.contains(entry.id))
-    reported.state = EndpointState::draining;
+  if (entry.state == EndpointState::ready && is_reported(entry.id)) reported.state = EndpointState::draining;
   return reported;
 }
 
+bool DrainTracker::is_reported(ReplicaId replica) const {
+  const auto report = peer_reports_.find(replica);
+  return report != peer_reports_.end() && report->second.in_force;
+}
+
 // What a peer has reported already is not reported again.
 void DrainTracker::schedule_report(Time now, const Endpoint& replica) {
   if (peer_reports_.erase(replica.id) > 0 || pending_reports_.size() >= kMaxKeptReports) return;
@@ -128,23 +133,44 @@
     ++unreadable_;
     return;
   }
-  for (const DrainReport& report : *reports) apply_report(now, report);
+  for (const DrainReport& report : *reports) accept_report(now, report);
 }
 
-void DrainTracker::apply_report(Time now, const DrainReport& report) {
+void DrainTracker::accept_report(Time now, const DrainReport& report) {
   const auto pending = pending_reports_.find(report.replica);
   if (pending != pending_reports_.end() && pending->second.start == report.start)
     pending_reports_.erase(pending);
   const auto known = peer_reports_.find(report.replica);
   if (known != peer_reports_.end() && !is_earlier(known->second.start, report.start)) return;
   if (!is_listed(report)) return observe(ReportFate::unlisted, report.replica);
-  if (known == peer_reports_.end() && !within_limit()) return observe(ReportFate::over_limit, report.replica);
-  observe(ReportFate::accepted, report.replica);
-  const Time until = now + lifetime();
-  peer_reports_[report.replica] = {.start = report.start, .received = now, .until = until};
-  const Endpoint entry = with_reported_state(listed_.at(report.replica));
+  if (known == peer_reports_.end() && peer_reports_.size() >= kMaxKeptReports) return;
+  const bool was_in_force = known != peer_reports_.end() && known->second.in_force;
+  PeerReport& kept = peer_reports_[report.replica];
+  kept = {.start = report.start, .received = now, .until = now + lifetime()};
+  set_timer(kept.until);
+  if (was_in_force || may_take_out_another(now)) return put_in_force(now, report.replica, kept);
+  observe(ReportFate::held_back, report.replica);
+  if (is_small_group() && list_received_) set_timer(*list_received_ + kListIsRenewedFor);
+}
+
+void DrainTracker::put_in_force(Time now, ReplicaId replica, PeerReport& report) {
+  report.in_force = true;
+  observe(ReportFate::accepted, replica);
+  const Endpoint entry = with_reported_state(listed_.at(replica));
   DeciderDecorator::on_endpoints(now, EndpointUpdate::delta, {&entry, 1});
-  set_timer(until);
+}
+
+// Reports that were held back hold once the own list is not renewed any more. Where it is, they are looked at
+// again when it may not be.
+void DrainTracker::review_held_back(Time now) {
+  for (auto& [replica, report] : peer_reports_) {
+    if (report.in_force) continue;
+    if (may_take_out_another(now)) {
+      put_in_force(now, replica, report);
+    } else if (is_small_group()) {
+      return set_timer(*list_received_ + kListIsRenewedFor);
+    }
+  }
 }
 
 // A report about a later start than the own list has is true of the earlier one as well: that one has ended.
@@ -153,10 +179,17 @@
   return listed != listed_.end() && !is_earlier(report.start, start_stamp(listed->second));
 }
 
-// A faulty peer can take out half of the ready replicas at the most.
-bool DrainTracker::within_limit() const {
-  const std::size_t reported = peer_reports_.size() + 1;
-  return 2 * reported <= listed_.size() && reported <= kMaxKeptReports;
+// Whether one more report may take a replica out: a faulty peer can take out half of the ready replicas at
+// the most, but the own list only speaks against peers while discovery renews it.
+bool DrainTracker::may_take_out_another(Time now) const {
+  if (is_small_group() && !list_is_renewed(now)) return true;
+  const auto out = static_cast<std::size_t>(std::count_if(
+      peer_reports_.begin(), peer_reports_.end(), [](const auto& report) { return report.second.in_force; }));
+  return 2 * (out + 1) <= listed_.size();
+}
+
+bool DrainTracker::list_is_renewed(Time now) const {
+  return list_received_ && now - *list_received_ < kListIsRenewedFor;
 }
 
 Time DrainTracker::lifetime() const {
@@ -169,6 +202,7 @@
   if (token != kTimerToken) return DeciderDecorator::on_timer(now, token);
   send_due_reports(now);
   expire_reports(now);
+  review_held_back(now);
 }
 
 // As many as fit into one message; those that are to be repeated stay.
@@ -213,15 +247,17 @@
     }
     observe(ReportFate::expired, at->first);
     const auto listed = listed_.find(at->first);
+    const bool was_in_force = at->second.in_force;
     at = peer_reports_.erase(at);
-    if (listed != listed_.end())
+    if (was_in_force && listed != listed_.end())
       DeciderDecorator::on_endpoints(now, EndpointUpdate::delta, {&listed->second, 1});
   }
 }
 
 // No list has come from discovery that could have confirmed or refuted the report.
 bool DrainTracker::may_hold_longer(Time now, const PeerReport& report) const {
-  return list_received_ <= report.received && now < report.received + 2 * lifetime();
+  const bool list_is_older = !list_received_ || *list_received_ <= report.received;
+  return list_is_older && now < report.received + 2 * lifetime();
 }
 
 void DrainTracker::set_timer(Time when) {
--- a/src/core/drain_tracker.hpp
+++ b/src/core/drain_tracker.hpp
@@ -1,12 +1,14 @@
 // Reports drains among the routers of a group: each router learns that a replica drains or is gone as soon as
 // one of them does, whatever became of its own subscription to discovery. Decorates the decider; no I/O.
 //
-// Guarantees: a peer's report only ever takes a replica out and never brings one in, and reports never take
-// out more than half of the ready replicas. A report is about one start of the replica and holds for earlier
-// ones, too; it ends when the own list says the same or names a later start. Without that it ends after
-// kReportLifetimeFactor x max_poll_interval, or after twice that time if no list has come from discovery
-// meanwhile: a list that is not renewed does not refute a peer. A message that is cut, too long or of another
-// version changes nothing and is counted.
+// Guarantees: a peer's report only ever takes a replica out and never brings one in. While discovery renews
+// the own list, reports take out half of the ready replicas at the most, so that a faulty peer does limited
+// harm; further ones are held back. Once no list has come for kListIsRenewedFor, in a group of up to
+// kMaxSmallGroup routers, those hold as well: peers are then the only ones that know. A report is about one
+// start of the replica and holds for earlier ones, too; it ends when the own list says the same or names a
+// later start. Without that it ends after kReportLifetimeFactor x max_poll_interval, or after twice that time
+// if no list has come from discovery meanwhile: a list that is not renewed does not refute a peer. A message
+// that is cut, too long or of another version changes nothing and is counted.
 //
 // A router that learns of a drain waits for a random part of max_delay() before it reports it, and does not
 // report what it has heard from a peer meanwhile. The number of reports of a drain therefore depends on how
@@ -18,6 +20,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "core/decider.hpp"
 #include "core/drain_message.hpp"
@@ -37,16 +40,19 @@
   // takes routers to be informed. A datagram may be lost.
   static constexpr int kRepeats = 2;
   static constexpr Time kRepeatAfter = 1'000'000;
+  // The protocol's time from a change to the moment at which every router counts as informed. An own list
+  // that is older does not refute a peer.
+  static constexpr Time kListIsRenewedFor = 6'000'000;
   // Bounds the memory: reports that are kept, from peers and for them.
   static constexpr std::size_t kMaxKeptReports = 1024;
 
   // What became of a report, for the log.
   enum class ReportFate {
-    sent,        // to all peers
-    accepted,    // a peer's: the replica is out
-    unlisted,    // a peer's: the own list does not have this start of the replica as ready
-    over_limit,  // a peer's: too many replicas are out by reports already
-    expired      // the own list has not confirmed it: the replica is ready again
+    sent,       // to all peers
+    accepted,   // a peer's: the replica is out
+    unlisted,   // a peer's: the own list does not have this start of the replica as ready
+    held_back,  // a peer's: too many replicas are out by reports already
+    expired     // the own list has not confirmed it: the replica is ready again
   };
   // Called for each report, within the event that it came with. Must not call back.
   using Observer = std::function<void(ReportFate fate, ReplicaId replica)>;
@@ -59,6 +65,8 @@
   void on_timer(Time now, std::uint32_t token) override;
   std::vector<Action> take_actions() override;
 
+  // Whether a peer's report takes this replica out now. What is not sent yet may not be sent either.
+  bool is_reported(ReplicaId replica) const;
   // Drain messages of peers that could not be decoded.
   std::uint64_t unreadable() const { return unreadable_; }
 
@@ -74,6 +82,7 @@
     std::uint32_t start = 0;
     Time received = 0;
     Time until = 0;
+    bool in_force = false;  // false: it is held back
   };
 
   // Whether a change of the list is reported to the peers.
@@ -86,9 +95,12 @@
   void update_not_ready(Time now, const Endpoint& entry, Reporting reporting);
   bool is_news(const Endpoint& entry) const;
   void schedule_report(Time now, const Endpoint& replica);
-  void apply_report(Time now, const DrainReport& report);
+  void accept_report(Time now, const DrainReport& report);
+  void put_in_force(Time now, ReplicaId replica, PeerReport& report);
+  void review_held_back(Time now);
   bool is_listed(const DrainReport& report) const;
-  bool within_limit() const;
+  bool may_take_out_another(Time now) const;
+  bool list_is_renewed(Time now) const;
   Time lifetime() const;
   bool is_small_group() const { return settings_.group_size <= kMaxSmallGroup; }
   void observe(ReportFate fate, ReplicaId replica) const;
@@ -106,7 +118,7 @@
   std::map<ReplicaId, std::uint32_t> draining_;         // starts of its draining replicas
   std::map<ReplicaId, PeerReport> peer_reports_;        // about replicas in `listed_`
   std::map<ReplicaId, PendingReport> pending_reports_;  // to be sent, or sent again
-  Time list_received_ = 0;                              // the latest list of discovery
+  std::optional<Time> list_received_;                   // the latest list of discovery
   std::vector<Action> own_actions_;                     // besides those of the inner decider
   std::uint64_t unreadable_ = 0;
 };
--- a/src/node/decider_chain.cpp
+++ b/src/node/decider_chain.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "budgets/admission_controller.hpp"
-#include "core/drain_tracker.hpp"
 #include "core/slow_start_budget.hpp"
 #include "logging/log.hpp"
 #include "node/endpoint_names.hpp"
@@ -46,7 +45,7 @@
     case Fate::sent: return "reported to peers: drains or is gone";
     case Fate::accepted: return "a peer reports that it drains or is gone: nothing more is sent to it";
     case Fate::unlisted: return "a peer reports that it drains or is gone: not ready in the own list";
-    case Fate::over_limit: return "a peer reports that it drains or is gone: too many are, not believed";
+    case Fate::held_back: return "a peer reports that it drains or is gone: too many are, not believed yet";
     case Fate::expired: break;
   }
   return "a peer's report has expired: ready again by the own list";
@@ -77,9 +76,12 @@
     chain.decider = std::move(pools);
   }
   chain.decider = std::make_unique<core::SlowStartBudget>(std::move(chain.decider), settings, net::now_us());
-  if (learns_drains_from_peers(settings))
-    chain.decider =
+  if (learns_drains_from_peers(settings)) {
+    auto drain_tracker =
         std::make_unique<core::DrainTracker>(std::move(chain.decider), settings, report_logger(endpoints));
+    chain.drain_tracker = drain_tracker.get();
+    chain.decider = std::move(drain_tracker);
+  }
   chain.decider = tracing::traced(std::move(chain.decider),
                                   [&endpoints](ReplicaId replica) { return uid_of(endpoints, replica); });
   return chain;
--- a/src/node/decider_chain.hpp
+++ b/src/node/decider_chain.hpp
@@ -5,6 +5,7 @@
 
 #include "config/config.hpp"
 #include "core/decider.hpp"
+#include "core/drain_tracker.hpp"
 #include "models/pools.hpp"
 #include "net/endpoint_table.hpp"
 #include "node/durable_state.hpp"
@@ -13,7 +14,9 @@
 
 struct DeciderChain {
   std::unique_ptr<core::Decider> decider;  // the outermost one
-  models::Pools* pools = nullptr;          // within the chain; null where there is no catalogue of models
+  // Both within the chain; null where there is no catalogue of models, or no peer that reports drains.
+  models::Pools* pools = nullptr;
+  const core::DrainTracker* drain_tracker = nullptr;
 };
 
 // Built from the inside out: routing policy, AdmissionController (where there are budgets or fair shares),
--- a/tests/core/drain_tracker.cpp
+++ b/tests/core/drain_tracker.cpp
@@ -278,6 +278,58 @@
   CHECK(group.routers[1].drains->unreadable() == 5);
 }
 
+TEST_CASE("reports beyond half of the ready replicas wait, and hold once the own list is not renewed") {
+  const bool renewed = GENERATE(false, true);
+  Group group(2, 10, 0, 7);
+  for (ReplicaId id = 1; id <= 8; ++id) group.deliver_later(0, 1, drain_report(id, id * 1000));
+  const auto out = [&] {
+    int count = 0;
+    for (ReplicaId id = 1; id <= 10; ++id) count += group.informed(id);
+    return count;
+  };
+  for (int step = 0; step < 4; ++step) {
+    if (renewed) group.routers[1].drains->on_endpoints(group.now, EndpointUpdate::delta, {});
+    if (renewed) group.collect(1);
+    group.run_to(group.now + kSecond);
+    CHECK(out() == 5);
+  }
+  for (int step = 0; step < 4; ++step) {
+    if (renewed) group.routers[1].drains->on_endpoints(group.now, EndpointUpdate::delta, {});
+    if (renewed) group.collect(1);
+    group.run_to(group.now + kSecond);
+  }
+  CHECK(out() == (renewed ? 5 : 8));
+  CHECK(group.routers[1].drains->is_reported(8) == !renewed);
+  // A peer's report still ends in time, whether it held or not.
+  group.run_to(group.now + 60 * kSecond);
+  CHECK(out() == 0);
+}
+
+TEST_CASE("a report that was held back holds when the own list has more ready replicas") {
+  Group group(2, 4, 0, 7);
+  for (ReplicaId id = 1; id <= 3; ++id) group.deliver_later(0, 1, drain_report(id, id * 1000));
+  group.run_to(group.now + kSecond);
+  const auto out = [&] { return group.informed(1) + group.informed(2) + group.informed(3); };
+  CHECK(out() == 2);
+  group.learn(1, {.id = 5, .started = 5 * kSecond});
+  group.learn(1, {.id = 6, .started = 6 * kSecond});
+  CHECK(out() == 3);
+}
+
+TEST_CASE("a router that has only the list of its start believes its peers") {
+  std::map<ReplicaId, EndpointState> states;
+  Settings settings;
+  settings.group_size = 2;
+  DrainTracker drains(std::make_unique<Listener>(states), settings);
+  drains.on_endpoints(kSecond, EndpointUpdate::cached, replicas(2));
+  for (ReplicaId id = 1; id <= 2; ++id) {
+    const std::string report = drain_report(id, id * 1000);
+    drains.on_peer_message(kSecond, 1, {reinterpret_cast<const std::uint8_t*>(report.data()), report.size()});
+  }
+  CHECK(states.at(1) == EndpointState::draining);
+  CHECK(states.at(2) == EndpointState::draining);
+}
+
 TEST_CASE("what is not about drains goes on to whoever decides") {
   std::map<ReplicaId, EndpointState> states;
   auto inner = std::make_unique<Listener>(states);
