Ask peers' reports before each send, and hand them over to a process that takes over

Cause: EndpointTable::may_send() knew the own list alone. Reports of peers reached the deciders only, so that an attempt chosen before the report went out when its connection came up after it; and the list that a process hands over had the reported replicas as ready. Change: the table asks the DrainTracker as well. The handed-over list has reported replicas as draining and no version, so that the other process asks for a whole list first: no later change would take an untrue report back. Ruled out: sending reports on as messages of their own (the handed-over list is what the other process starts from), and writing them into the table's entries (the own list would then seem to say so).

--- a/src/net/endpoint_table.cpp
+++ b/src/net/endpoint_table.cpp
@@ -39,7 +39,7 @@
 
 bool EndpointTable::may_send(ReplicaId replica) const {
   const EndpointEntry* entry = find(replica);
-  return entry != nullptr && entry->listing.state == EndpointState::ready;
+  return entry != nullptr && entry->listing.state == EndpointState::ready && !is_reported(replica);
 }
 
 std::size_t EndpointTable::listed() const {
@@ -55,12 +55,18 @@
 
 std::string EndpointTable::list() const {
   std::string entries;
+  bool any_reported = false;
   for (const auto& [id, entry] : endpoints_) {
     if (entry.listing.state == EndpointState::gone) continue;
+    ListedEndpoint listed = entry;
+    if (listed.listing.state == EndpointState::ready && is_reported(id)) {
+      listed.listing.state = EndpointState::draining;
+      any_reported = true;
+    }
     if (!entries.empty()) entries += ",";
-    entries += write_endpoint(entry, names_);
+    entries += write_endpoint(listed, names_);
   }
-  return write_endpoint_list(client_.revision(), entries);
+  return write_endpoint_list(any_reported ? std::nullopt : client_.revision(), entries);
 }
 
 void EndpointTable::apply_list(simdjson::dom::element list, Source source) {
--- a/src/net/endpoint_table.hpp
+++ b/src/net/endpoint_table.hpp
@@ -49,9 +49,15 @@
   // Throws NetError if the address is none.
   EndpointTable(Options options, OnUpdate on_update);
 
+  // Asks this from now on, before anything is sent to a replica that the list has as ready: whether peers
+  // report that it drains or is gone. It is called until the table is destroyed.
+  void consult_peers(std::function<bool(ReplicaId)> reported) { reported_by_peers_ = std::move(reported); }
+
   // The list as this router last held it.
   void start_from(simdjson::dom::element known);
-  // The list of now, in discovery's form.
+  // The list of now, in discovery's form, for a process that takes over. Replicas that peers report are in it
+  // as draining. It has no version then, so that the other process asks for the whole list: should a report
+  // be untrue, no later change of the list would say so.
   std::string list() const;
 
   // The schedule calls by itself, so that a watch is always open or under way; this only says that one is
@@ -65,7 +71,7 @@
 
   // Also of a replica that has gone, for a while; nullptr if it is not known. Valid until the next list.
   const EndpointEntry* find(ReplicaId replica) const;
-  // Whether the newest list allows new work for this replica.
+  // Whether the newest list allows new work for this replica, and no peer's report speaks against it.
   bool may_send(ReplicaId replica) const;
   std::size_t size() const { return endpoints_.size(); }
   // Without those that are gone.
@@ -77,6 +83,7 @@
 
   void apply_list(simdjson::dom::element list, Source source);
   std::vector<Endpoint> apply_entries(simdjson::dom::element list, Source source);
+  bool is_reported(ReplicaId replica) const { return reported_by_peers_ && reported_by_peers_(replica); }
   bool is_usable(const ListedEndpoint& listed, std::set<std::string>& seen);
   Endpoint apply_entry(ListedEndpoint listed);
   void log_state_changes(Source source);
@@ -86,6 +93,7 @@
 
   EndpointNames names_;
   OnUpdate on_update_;
+  std::function<bool(ReplicaId)> reported_by_peers_;  // empty: there are no peers
   std::map<ReplicaId, EndpointEntry> endpoints_;
   std::deque<ReplicaId> gone_;  // the one that went first comes first
   DiscoveryCounters counters_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,6 +99,10 @@
 std::unique_ptr<core::RequestManager> Node::make_core() {
   DeciderChain chain = build_decider_chain(config_, endpoints_, durable_state_);
   pools_ = chain.pools;
+  if (chain.drain_tracker != nullptr) {
+    endpoints_.consult_peers(
+        [tracker = chain.drain_tracker](ReplicaId replica) { return tracker->is_reported(replica); });
+  }
   core::Dependencies dependencies{clock_,
                                   upstream_,
                                   endpoints_,
