Let attempts that were never sent cost nothing of the retry budget

Seen: in the process test of a connection that comes up after a peer's report, 4 of 5 held-back requests were refused with 'no replica to ask' though a replica was idle. Cause: try_again() gave back to the retry budget for quick failures and for connections that never came up, not for attempts that the router itself held back after a while (not_sent). The budget bounds the load of repeats on replicas; such an attempt was none. Change: whatever never ran is given back (full has its own way before).

--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -118,7 +118,7 @@
   if (now >= pending.useful_until) return end(pending, RefusalReason::too_late);
   if (result.outcome == Outcome::full) return move_to_adjacent(now, pending, result.replica);
   const bool quick = is_quick(result, objective_of(pending.request));
-  if (quick || result.outcome == Outcome::connect_failed) retry_budget_ += 1;
+  if (quick || never_ran(result.outcome)) retry_budget_ += 1;  // it was no load for any replica
   if (!send_second_attempt(now, pending, result.replica)) end(pending, RefusalReason::no_replica);
 }
 
