--- a/tests/incidents/router_config.cpp
+++ b/tests/incidents/router_config.cpp
@@ -19,7 +19,8 @@
          R"(,"rank":)" + std::to_string(config.rank) +
          R"(,"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],)"
          R"("tenants":[{"name":"acme","share":1.0}],"policyLimits":{"maxAttempts":5,"dialTimeout":)" +
-         std::to_string(config.dial_limit_us) + R"(,"peers":)" + may_message_peers + "}}";
+         std::to_string(config.dial_limit_us) + R"(,"keepalive":)" + std::to_string(config.keepalive_us) +
+         R"(,"peers":)" + may_message_peers + "}}";
 }
 
 }  // namespace
--- a/tests/incidents/router_config.hpp
+++ b/tests/incidents/router_config.hpp
@@ -16,6 +16,7 @@
   std::string all_peers = {};       // where a datagram to all of them goes
   std::string admin_endpoint = {};  // empty: none
   long dial_limit_us = 120'000;     // until a connection to a replica has to be up
+  long keepalive_us = 5'000'000;    // after which an idle connection to a replica is closed
 };
 
 // The file's text, with one class of request, `chat`, and one tenant, `acme`.
--- a/tests/net/program.hpp
+++ b/tests/net/program.hpp
@@ -11,13 +11,18 @@
 #include <cstdio>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace thornwick::testing {
 
 // The program under test, with its standard error read line by line. Every wait is for something it says.
 class Program {
  public:
-  explicit Program(const std::string& config, const char* format = "text", const std::string& folder = {}) {
+  // Variables of its environment, beside those of this process.
+  using Environment = std::vector<std::pair<std::string, std::string>>;
+
+  explicit Program(const std::string& config, const char* format = "text", const std::string& folder = {},
+                   const Environment& environment = {}) {
     int ends[2];
     REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
     pid_ = fork();
@@ -25,6 +30,7 @@
     if (pid_ == 0) {
       dup2(ends[1], STDERR_FILENO);
       if (!folder.empty()) setenv("TMPDIR", folder.c_str(), 1);
+      for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
       alarm(60);  // stays across exec: guards the test against a line that never comes
       execl(THORNWICK, THORNWICK, "--config", config.c_str(), "--log-format", format, nullptr);
       _exit(127);
@@ -46,6 +52,7 @@
     return {};
   }
   void signal(int number) { kill(pid_, number); }
+  pid_t pid() const { return pid_; }
   int status() {
     int status = -1;
     waitpid(std::exchange(pid_, 0), &status, 0);
