Give a call of discovery up for a new connection only where a descriptor is lacking

Cause: DiscoveryClient::take_connection() took every connection that failed at once for want of a descriptor, and gave the oldest call up, which may be the one that discovery is about to answer. With no address or no route on this machine (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS) that is wrong, and it happened with each further call. Change: the process's count of descriptors decides. Ruled out: the limit of calls that are out, which does not count calls without a connection.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -7,6 +7,7 @@
 
 #include "http/http.hpp"
 #include "logging/log.hpp"
+#include "net/descriptors.hpp"
 #include "net/endpoint_list.hpp"
 #include "net/net_error.hpp"
 
@@ -86,9 +87,9 @@
 std::unique_ptr<DiscoveryConnection> DiscoveryClient::take_connection() {
   if (idle_ && idle_->open()) return std::move(idle_);
   drop(std::move(idle_));
-  auto connection = connect();
-  if (connection || calls_out_.empty()) return connection;
-  // Without a free descriptor the oldest call makes room: its connection may be a dead one.
+  if (calls_out_.empty() || descriptors().held < descriptors().limit) return connect();
+  // Without a free descriptor the oldest call makes room: its connection may be a dead one. For any other
+  // reason a new connection fails, those that are up are worth more than before.
   drop(std::move(calls_out_.front()));
   calls_out_.erase(calls_out_.begin());
   ++counters_.failures;
