--- a/tests/core/drain_tracker.cpp
+++ b/tests/core/drain_tracker.cpp
@@ -280,7 +280,9 @@
 
 TEST_CASE("reports beyond half of the ready replicas wait, and hold once the own list is not renewed") {
   const bool renewed = GENERATE(false, true);
-  Group group(2, 10, 0, 7);
+  const int routers = GENERATE(2, 300);
+  CAPTURE(renewed, routers);
+  Group group(routers, 10, 0, 7);
   for (ReplicaId id = 1; id <= 8; ++id) group.deliver_later(0, 1, drain_report(id, id * 1000));
   const auto out = [&] {
     int count = 0;
