Believe peers' reports beyond half in large groups too, once the own list is not renewed

A subscription renews the list every 5.4 s at most in a group of any size, so that 6 s without one say the same everywhere. Change: the condition on the group's size goes.

--- a/src/core/drain_tracker.cpp
+++ b/src/core/drain_tracker.cpp
@@ -150,7 +150,7 @@
   set_timer(kept.until);
   if (was_in_force || may_take_out_another(now)) return put_in_force(now, report.replica, kept);
   observe(ReportFate::held_back, report.replica);
-  if (is_small_group() && list_received_) set_timer(*list_received_ + kListIsRenewedFor);
+  set_timer(*list_received_ + kListIsRenewedFor);
 }
 
 void DrainTracker::put_in_force(Time now, ReplicaId replica, PeerReport& report) {
@@ -165,11 +165,8 @@
 void DrainTracker::review_held_back(Time now) {
   for (auto& [replica, report] : peer_reports_) {
     if (report.in_force) continue;
-    if (may_take_out_another(now)) {
-      put_in_force(now, replica, report);
-    } else if (is_small_group()) {
-      return set_timer(*list_received_ + kListIsRenewedFor);
-    }
+    if (!may_take_out_another(now)) return set_timer(*list_received_ + kListIsRenewedFor);
+    put_in_force(now, replica, report);
   }
 }
 
@@ -180,9 +177,10 @@
 }
 
 // Whether one more report may take a replica out: a faulty peer can take out half of the ready replicas at
-// the most, but the own list only speaks against peers while discovery renews it.
+// the most, but the own list only speaks against peers while discovery renews it. False only if there is a
+// list.
 bool DrainTracker::may_take_out_another(Time now) const {
-  if (is_small_group() && !list_is_renewed(now)) return true;
+  if (!list_is_renewed(now)) return true;
   const auto out = static_cast<std::size_t>(std::count_if(
       peer_reports_.begin(), peer_reports_.end(), [](const auto& report) { return report.second.in_force; }));
   return 2 * (out + 1) <= listed_.size();
--- a/src/core/drain_tracker.hpp
+++ b/src/core/drain_tracker.hpp
@@ -3,12 +3,12 @@
 //
 // Guarantees: a peer's report only ever takes a replica out and never brings one in. While discovery renews
 // the own list, reports take out half of the ready replicas at the most, so that a faulty peer does limited
-// harm; further ones are held back. Once no list has come for kListIsRenewedFor, in a group of up to
-// kMaxSmallGroup routers, those hold as well: peers are then the only ones that know. A report is about one
-// start of the replica and holds for earlier ones, too; it ends when the own list says the same or names a
-// later start. Without that it ends after kReportLifetimeFactor x max_poll_interval, or after twice that time
-// if no list has come from discovery meanwhile: a list that is not renewed does not refute a peer. A message
-// that is cut, too long or of another version changes nothing and is counted.
+// harm; further ones are held back. Once no list has come for kListIsRenewedFor those hold as well: peers are
+// then the only ones that know. A report is about one start of the replica and holds for earlier ones, too;
+// it ends when the own list says the same or names a later start. Without that it ends after
+// kReportLifetimeFactor x max_poll_interval, or after twice that time if no list has come from discovery
+// meanwhile: a list that is not renewed does not refute a peer. A message that is cut, too long or of another
+// version changes nothing and is counted.
 //
 // A router that learns of a drain waits for a random part of max_delay() before it reports it, and does not
 // report what it has heard from a peer meanwhile. The number of reports of a drain therefore depends on how
