Membership: judge silent members when another one answers, so that a death is found as fast as before

Cause: ordinary probes wait while a silent member's rounds use their messages up, and a long-silent member is looked at once or twice in 12 s: each time the latest answer was too old, and the answer to the probe that this set off was old again at the next look. Change: that answer itself has the silent members judged. An answer counts for one period instead of two.

--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -15,8 +15,7 @@
 // Periods of silence before a member is called gone: it may only be slow.
 constexpr Time kLeastSilentPeriods = 2;
 // An answer of another member that is at most so many periods old shows that this router is not cut off.
-// Ordinary probes bring one in each period.
-constexpr Time kRecentAnswerPeriods = 2;
+constexpr Time kRecentAnswerPeriods = 1;
 constexpr std::uint32_t kRoundsUntilLeft = 2;  // of a member that announced its end
 // A round that was looked at later than this fraction of a period after its end was neglected by this process
 // itself, and says nothing about the member.
@@ -101,22 +100,42 @@
   return needed > replaced ? needed - replaced : 1;
 }
 
+bool FailureDetector::is_silent_for_long(const MemberRecord& member) const {
+  const bool long_enough = now_ - member.doubted_since >= kLeastSilentPeriods * state_.options.period;
+  return long_enough && member.failed_rounds >= rounds_until_failure(member);
+}
+
 // A router that no member answers cannot know which of the two has failed. Only a recent answer counts: an
 // earlier one, though it came since the doubt began, may be from before this router was cut off.
-bool FailureDetector::others_answer(const MemberRecord& doubted) const {
+bool FailureDetector::another_answers(const MemberRecord& silent) const {
   if (state_.members.size() == 2) return true;  // there is no other
   const Time recently = now_ - kRecentAnswerPeriods * state_.options.period;
-  return state_.condition.last_answer_at >= std::max(doubted.doubted_since, recently);
+  return state_.condition.last_answer_at >= std::max(silent.doubted_since, recently);
 }
 
 void FailureDetector::condemn_if_silent_for_long(std::size_t member) {
   MemberRecord& record = state_.members[member];
-  const std::uint32_t needed = rounds_until_failure(record);
-  if (record.failed_rounds + 2 >= needed && !others_answer(record)) rounds_.probe_at_random(1);
-  if (record.failed_rounds >= 2 * needed) record.next_round_at = now_ + state_.options.period;
-  const bool long_enough = now_ - record.doubted_since >= kLeastSilentPeriods * state_.options.period;
-  if (record.failed_rounds >= needed && long_enough && others_answer(record))
+  if (record.failed_rounds >= 2 * rounds_until_failure(record))
+    record.next_round_at = now_ + state_.options.period;
+  if (!is_silent_for_long(record)) return;
+  if (another_answers(record)) {
     state_.probes.failure_verdicts.push_back(member);
+  } else {
+    rounds_.probe_at_random(1);  // its answer calls condemn_silent_members()
+  }
+}
+
+// Another member answers now.
+void FailureDetector::condemn_silent_members() {
+  group_.refresh();
+  for (std::size_t i = 0; i < state_.members.size(); ++i) {
+    const MemberRecord& member = state_.members[i];
+    const bool may_fail =
+        member.view.state == MemberState::alive || member.view.state == MemberState::suspected;
+    if (may_fail && member.failed_rounds > 0 && is_silent_for_long(member))
+      state_.probes.failure_verdicts.push_back(i);
+  }
+  apply_verdicts();
 }
 
 void FailureDetector::apply_verdicts() {
@@ -144,6 +163,7 @@
   }
   if (!round->over) note_answered_round(*round, via == member);
   on_proof_of_life(member, via);
+  condemn_silent_members();
 }
 
 void FailureDetector::note_answered_round(ProbeRound& round, bool direct) {
--- a/src/membership/failure_detector.hpp
+++ b/src/membership/failure_detector.hpp
@@ -33,8 +33,10 @@
   void on_ordinary_round_failed();
   void on_leaving_member_silent(std::size_t member);
   void suspect_if_silent_for_long(std::size_t member);
-  bool others_answer(const MemberRecord& doubted) const;
+  bool is_silent_for_long(const MemberRecord& member) const;
+  bool another_answers(const MemberRecord& silent) const;
   void condemn_if_silent_for_long(std::size_t member);
+  void condemn_silent_members();
   std::uint32_t rounds_until_failure(const MemberRecord& member) const;
   void note_answered_round(ProbeRound& round, bool direct);
   void reset_doubt(MemberRecord& member);
--- /dev/null
+++ b/tests/faults/clock_steps.cpp
@@ -0,0 +1,42 @@
+// The system's clock is stepped while requests wait: they wait for spans of real time.
+#include <catch2/catch.hpp>
+
+#include "fault_control.hpp"
+#include "faulty_site.hpp"
+
+using namespace thornwick;
+using testing::FaultySite;
+
+namespace {
+
+constexpr Time kSecond = 1'000'000;
+constexpr std::int64_t kHour = 3'600 * std::int64_t{kSecond};
+
+}  // namespace
+
+TEST_CASE("a step of the system's clock ends no request early and leaves none without its answer") {
+  const std::int64_t step = GENERATE(kHour, -kHour, std::int64_t{5 * kSecond}, std::int64_t{-5 * kSecond});
+  CAPTURE(step);
+  FaultySite site(1, "", FaultySite::Replicas::silent);
+  const Time begun = net::now_us();
+  site.begin(5);
+  testing::run_until([] { return false; }, kSecond / 2);
+  site.faults.step_wall_clock(step);
+  testing::run_until([&] { return site.answered() > 0; }, testing::kMostWait);
+  // A request ends at its time, not before; the replicas never answer.
+  CHECK(net::now_us() - begun >= testing::kRequestTime);
+  testing::run_until([&] { return site.answered() == 5; }, testing::kMostWait);
+  CHECK(site.answered() == 5);
+  CHECK(site.served() == 0);
+}
+
+TEST_CASE("a router whose system clock has been stepped serves as before") {
+  const std::int64_t step = GENERATE(kHour, -kHour);
+  CAPTURE(step);
+  FaultySite site(1);
+  site.load(10, 2);
+  site.faults.step_wall_clock(step);
+  site.load(20, 2);
+  CHECK(site.served() == 60);
+  CHECK(site.end(SIGTERM) == 0);
+}
