--- a/tests/incidents/router_config.cpp
+++ b/tests/incidents/router_config.cpp
@@ -40,8 +40,8 @@
 std::string write_router_request(std::size_t number, std::int64_t timeout) {
   const std::string id = std::to_string(number);
   return "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Request-ID: r" + id +
-         "\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: " + std::to_string(timeout / kMicrosecondsPerMillisecond) +
-         "\r\nX-Route-Key: " + id +
+         "\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: " +
+         std::to_string(timeout / kMicrosecondsPerMillisecond) + "\r\nX-Route-Key: " + id +
          "\r\nX-Attrs: prompt_len=4,max_out=4\r\nContent-Length: 2\r\n\r\n{}";
 }
 
