Read a router's serving address in one place of the tests; two old words go

Cause: four test files of this change took the address out of the ' serves on ' line with the same lines. Change: Program::serving_address(). A comment and a test's title say 'informs its routers' instead of an old word.

--- a/src/core/discovery_schedule.hpp
+++ b/src/core/discovery_schedule.hpp
@@ -3,7 +3,7 @@
 //
 // A call without an answer is not given up when the next one is due: the next one begins beside it, and
 // whichever answers first counts. So a discovery that is gone, or that has lost a call, is asked again soon,
-// and one that needs long for each answer, because its queue is full, is heard all the same. A limit of a
+// and one that needs long for each answer, because its queue is full, still informs its routers. A limit of a
 // call that is shorter than such a queue would never let a router hear of it: each call would be given up,
 // and begun anew at the end of the queue.
 //
--- a/tests/core/discovery_schedule.cpp
+++ b/tests/core/discovery_schedule.cpp
@@ -225,7 +225,8 @@
 }
 
 TEST_CASE(
-    "a discovery that needs long for each answer is heard all the same, and no call is lost to the next") {
+    "a discovery that needs long for each answer still informs its routers, and no call is lost to the "
+    "next") {
   const auto routers = GENERATE(1u, 6u, 30u, 300u);
   const auto latency = GENERATE(as<Time>{}, 1'300'000, 2 * kSecond, 4 * kSecond, 9 * kSecond);
   const auto seed = GENERATE(1u, 2u, 3u);
--- a/tests/faults/discovery_calls.cpp
+++ b/tests/faults/discovery_calls.cpp
@@ -46,10 +46,7 @@
       {.discovery = discovery_address,
        .known = draining.entry("s-01", "SERVING") + "," + staying.entry("s-02", "SERVING")});
   Program router(config, "text", scratch.folder(), faults.environment());
-  const std::string serves = router.says(" serves on ");
-  const auto begin = serves.find("127.0.0.1:");
-  REQUIRE(begin != std::string::npos);
-  const std::string address = serves.substr(begin, serves.find(',') - begin);
+  const std::string address = router.serving_address();
 
   Socket call = discovery.accept_one();
   call.read_until("\r\n\r\n");
--- a/tests/faults/faulty_site.cpp
+++ b/tests/faults/faulty_site.cpp
@@ -85,10 +85,7 @@
 void FaultySite::start() {
   router_ =
       std::make_unique<Program>(config_, "text", scratch_.folder(), faults.environment(), operator_file_);
-  const std::string serves = router_->says(" serves on ");
-  const auto begin = serves.find("127.0.0.1:");
-  REQUIRE(begin != std::string::npos);
-  address_ = serves.substr(begin, serves.find(',') - begin);
+  address_ = router_->serving_address();
 }
 
 int FaultySite::end(int signal) {
--- a/tests/incidents/drain.cpp
+++ b/tests/incidents/drain.cpp
@@ -103,10 +103,7 @@
     for (std::size_t i = 0; i < paths_.size(); ++i) {
       write_config(i, discovery);
       programs_.push_back(std::make_unique<Program>(paths_[i]));
-      const std::string serves = programs_.back()->says(" serves on ");
-      const auto begin = serves.find("127.0.0.1:");
-      REQUIRE(begin != std::string::npos);
-      addresses_.push_back(serves.substr(begin, serves.find(',') - begin));
+      addresses_.push_back(programs_.back()->serving_address());
     }
   }
   void open_link() {
--- a/tests/incidents/peer_reports.cpp
+++ b/tests/incidents/peer_reports.cpp
@@ -90,10 +90,7 @@
   // Begins a process; where one serves already, the new one takes over.
   void start() {
     programs_.push_back(std::make_unique<Program>(config_, "text", tmp_));
-    const std::string serves = programs_.back()->says(" serves on ");
-    const auto begin = serves.find("127.0.0.1:");
-    REQUIRE(begin != std::string::npos);
-    address_ = serves.substr(begin, serves.find(',') - begin);
+    address_ = programs_.back()->serving_address();
   }
   Program& first() { return *programs_.front(); }
 
--- a/tests/net/program.hpp
+++ b/tests/net/program.hpp
@@ -54,6 +54,13 @@
     }
     return {};
   }
+  // The address at which it serves clients, once it says so.
+  std::string serving_address() {
+    const std::string line = says(" serves on ");
+    const auto begin = line.find("127.0.0.1:");
+    REQUIRE(begin != std::string::npos);
+    return line.substr(begin, line.find(',') - begin);
+  }
   void signal(int number) { kill(pid_, number); }
   pid_t pid() const { return pid_; }
   int status() {
