--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,65 @@
+"""A rolling replacement removes one worker, then another one drains. Does the second one get new work?"""
+import pathlib
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
+import standins  # noqa: E402
+
+SECONDS_AFTER = 8
+CLIENTS = 8
+GRACE_S = 0.5 + 0.05  # rules.stopSendingWithin, and the 50 ms that each limit is longer on sockets
+
+
+def case(record, scratch, routers):
+    names = ("fast-1", "fast-2", "standard-1", "standard-2")
+    workers = {uid: standins.Worker(record, uid, kind=uid.split("-")[0]) for uid in names}
+    discovery = standins.Discovery(record, [worker.target() for worker in workers.values()])
+    router = standins.Router(record, discovery, discovery.whole(), folder=scratch)
+    routers.append(router)
+    router.wait_ready()
+    stop = threading.Event()
+    unanswered = []
+
+    def converse(number):
+        client = standins.Client(record, router.address, f"client{number}")
+        turn = 0
+        while not stop.is_set():
+            turn += 1
+            request = f"{number:04x}{turn:012x}"
+            # Each client opens a new conversation every few turns, so that every worker gets some.
+            answer = client.send(request, key=f"{number * 1000 + turn // 3 + 1:016x}")
+            if answer.status is None:
+                unanswered.append(request)
+            time.sleep(0.01)
+        client.close()
+
+    threads = [threading.Thread(target=converse, args=(number,)) for number in range(CLIENTS)]
+    for thread in threads:
+        thread.start()
+    time.sleep(2)
+    if standins.TROUBLE:  # fast-1 is replaced by fast-3, as in a rolling deploy
+        discovery.change(workers["fast-1"].target("DRAINING"))
+        time.sleep(1)
+        discovery.change(workers["fast-1"].target("DELETED"))
+        workers["fast-3"] = standins.Worker(record, "fast-3")
+        discovery.change(workers["fast-3"].target(boot_ms=int(time.time() * 1000)))
+    time.sleep(3)
+    drained = workers["standard-1"]
+    before = len(drained.runs)
+    discovery.change(drained.target("DRAINING"))
+    time.sleep(SECONDS_AFTER)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    told = discovery.told.get(("standard-1", "DRAINING"))
+    if told is None or before == 0:
+        raise standins.CannotRun(f"told={told}, runs before the drain: {before}")
+    late = [(at, request) for at, request in drained.runs if at > told + GRACE_S]
+    record.write("case", "tally", told=f"{told:.4f}", late=len(late), unanswered=len(unanswered))
+    return [f"standard-1 got request {request} {at - told:.3f} s after the router was told that it drains"
+            for at, request in late]
+
+
+standins.run_case(pathlib.Path(__file__).resolve().parent, case)
