Review case 2: a keyed request is run again after its window as another model's fallback

Cause: the pools hand a refusal of one model's policy to the next model, whose policy does not know that an attempt may have run (src/models/pools_requests.cpp).

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -158,11 +159,36 @@
         self.first_token_s, self.events, self.event_s = first_token_s, events, event_s
         self.lock = threading.Lock()
         self.runs = []  # (seconds, request id)
+        self.connections = set()
         self.listener = listen()
         self.endpoint = "127.0.0.1:%d" % self.listener.getsockname()[1]
         serve(self.listener, self.handle)
 
+    def end(self):
+        """The worker's process ends: its connections are reset, new ones are refused."""
+        self.record.write(self.uid, "ends")
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+            connection.close()
+
     def handle(self, connection):
+        with self.lock:
+            self.connections.add(connection)
+        try:
+            self.converse(connection)
+        finally:
+            with self.lock:
+                self.connections.discard(connection)
+
+    def converse(self, connection):
         reader = Reader(connection)
         while True:
             line, headers = reader.head()
@@ -397,8 +423,8 @@
 class Client:
     """A usual client: one request at a time on a connection that it keeps."""
 
-    def __init__(self, record, address, name):
-        self.record, self.name = record, name
+    def __init__(self, record, address, name, model="chat"):
+        self.record, self.name, self.model = record, name, model
         self.host, self.port = address.split(":")
         self.connection = None
 
@@ -408,7 +434,7 @@
             self.connection = None
 
     def send(self, request, key, timeout_ms=5000, grade="agent", tenant="koroi-apps", prompt=400):
-        body = json.dumps({"model": "chat", "stream": True, "max_tokens": 60,
+        body = json.dumps({"model": self.model, "stream": True, "max_tokens": 60,
                            "messages": [{"role": "user", "content": "x" * (prompt * 4)}]}).encode()
         head = (f"POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: {request}\r\n"
                 f"X-Priority-Class: {grade}\r\nX-Tenant-Id: {tenant}\r\nX-Route-Key: {key}\r\n"
