--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -18,6 +18,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Cases that run at the same time have addresses of their own, so that no port is taken twice.
+HOST = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}.1"
 LIMIT_S = 115  # a watchdog ends the case with status 2 after this time
 
 
@@ -51,7 +53,7 @@
 
 def free_port():
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((HOST, 0))
         return probe.getsockname()[1]
 
 
@@ -128,7 +130,7 @@
 def listen():
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(("127.0.0.1", 0))
+    listener.bind((HOST, 0))
     listener.listen(128)
     return listener
 
@@ -161,7 +163,7 @@
         self.runs = []  # (seconds, request id)
         self.connections = set()
         self.listener = listen()
-        self.endpoint = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.endpoint = "%s:%d" % self.listener.getsockname()
         serve(self.listener, self.handle)
 
     def end(self):
@@ -235,7 +237,7 @@
         self.calls = 0
         self.told = {}  # (uid, state) -> seconds at which an answer with that state was written
         self.listener = listen()
-        self.endpoint = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.endpoint = "%s:%d" % self.listener.getsockname()
         serve(self.listener, self.handle)
 
     def change(self, target):
@@ -341,7 +343,7 @@
                  listen_at=None, ops=None, extra=None, operator=None):
         self.record, self.name = record, name
         self.folder = pathlib.Path(folder or tempfile.mkdtemp(prefix="case-"))
-        self.address = listen_at or "127.0.0.1:%d" % free_port()
+        self.address = listen_at or f"{HOST}:{free_port()}"
         self.ops = ops
         config = {"name": name, "listen": self.address, "discovery": discovery.endpoint, "seed": seed,
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
