--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,8 +14,8 @@
 
 
 def case(record, scratch, routers):
-    names = ("fast-1", "fast-2", "standard-1", "standard-2")
-    workers = {uid: standins.Worker(record, uid, events=10, event_s=0.03, kind=uid.split("-")[0]) for uid in names}
+    kinds = {"k7-2a": "fast", "m4-91": "fast", "q3-2a": "standard", "t9-5d": "standard"}  # by uid
+    workers = {uid: standins.Worker(record, uid, events=10, event_s=0.03, kind=kind) for uid, kind in kinds.items()}
     discovery = standins.Discovery(record, [worker.target() for worker in workers.values()])
     router = standins.Router(record, discovery, discovery.whole(), folder=scratch)
     routers.append(router)
@@ -43,14 +43,14 @@
     for thread in threads:
         thread.start()
     time.sleep(2)
-    if standins.TROUBLE:  # fast-1 is replaced by fast-3, as in a rolling deploy
-        discovery.change(workers["fast-1"].target("DRAINING"))
+    if standins.TROUBLE:  # k7-2a is replaced by w6-c0, as in a rolling deploy
+        discovery.change(workers["k7-2a"].target("DRAINING"))
         time.sleep(1)
-        discovery.change(workers["fast-1"].target("DELETED"))
-        workers["fast-3"] = standins.Worker(record, "fast-3")
-        discovery.change(workers["fast-3"].target(boot_ms=int(time.time() * 1000)))
+        discovery.change(workers["k7-2a"].target("DELETED"))
+        workers["w6-c0"] = standins.Worker(record, "w6-c0", events=10, event_s=0.03)
+        discovery.change(workers["w6-c0"].target(boot_ms=int(time.time() * 1000)))
     time.sleep(3)
-    drained = workers["standard-1"]
+    drained = workers["q3-2a"]
     before = len(drained.runs)
     discovery.change(drained.target("DRAINING"))
     time.sleep(FINISH_S)
@@ -60,15 +60,15 @@
     stop.set()
     for thread in threads:
         thread.join()
-    told = discovery.told.get(("standard-1", "DRAINING"))
+    told = discovery.told.get(("q3-2a", "DRAINING"))
     if told is None or before == 0:
         raise standins.CannotRun(f"told={told}, runs before the drain: {before}")
     late = {request: at for at, request in drained.runs if at > told + GRACE_S}
     lost = [request for request in broken if request in late]
     record.write("case", "tally", told=f"{told:.4f}", late=len(late), broken=len(broken), of_late=len(lost),
                  unanswered=len(unanswered))
-    return [f"standard-1 got request {request} {at - told:.3f} s after the router was told that it drains" +
-            (", and its answer broke off when standard-1 ended" if request in lost else "")
+    return [f"q3-2a got request {request} {at - told:.3f} s after the router was told that it drains" +
+            (", and its answer broke off when q3-2a ended" if request in lost else "")
             for request, at in sorted(late.items(), key=lambda entry: -entry[1])]
 
 
