Models: no fallback to another model once a repeat would not be discarded

Cause: each model's pool has a routing policy of its own. Pools took any refusal of a pool's policy for overload and handed the request to the next pool, whose policy knew the number of the earlier attempts and neither whether one may have run nor when. Evidence: trace lines of one request in docs/incidents/2026-12-fallback-after-window.md: reset after 5.500 s, and in the same microsecond the send to a replica that only the other pool has. Ruled out: a repeat by the first pool's policy (its pool has no such replica); a wait in the second pool (same microsecond). Pools keeps of each attempt when it was sent and whether it may have run; after one that may have run it falls back only for safe classes, and for keyed ones with scope all within the window. Counter fallback_may_have_run. The first pool's refusal is then the answer, so nothing is sent after the window.

--- a/src/models/pools.hpp
+++ b/src/models/pools.hpp
@@ -4,7 +4,8 @@
 // rejections; Pools decides whether a rejection is final.
 //
 // Guarantees for each request, over all models together: at most `max_attempts` attempts, never two at once,
-// and none after the first event of an answer.
+// none after the first event of an answer, and no fallback to another model once an attempt may have run
+// unless all replicas still discard the repeat (thornwick/repeat_rule.hpp).
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -33,6 +34,7 @@
   std::uint64_t pool_refused = 0;       // the other pool was cold or full, or had its limit of fallback work
   std::uint64_t too_little_time = 0;    // too little time remained until the deadline
   std::uint64_t no_attempts_left = 0;   // max_attempts was reached
+  std::uint64_t may_have_run = 0;       // an attempt may have run, and a repeat is not discarded everywhere
   std::uint64_t placement_changes = 0;  // changes of the placement of adapters, not requests
 };
 
@@ -73,6 +75,8 @@
     Pool* pool = nullptr;
     std::uint8_t number = 0;  // of the attempt, as counted by the pool's decider
     ReplicaId replica = 0;
+    Time sent_at = 0;
+    bool may_have_run = true;  // false once its outcome proves that no replica began to work
   };
   struct OpenRequest {
     Request request;
@@ -102,6 +106,7 @@
   bool is_known(ModelId model) const { return model != 0 && model <= options_.catalogue.models.size(); }
   [[nodiscard]] bool try_model(OpenRequest& open, ModelId model, Origin origin);
   [[nodiscard]] bool try_fallbacks(OpenRequest& open);
+  bool may_run_at_another_model(const OpenRequest& open) const;
   void reject(RequestId id, const Request& request, Allowance::Rejection reason);
 
   // Actions of the pools' deciders.
--- a/src/models/pools_requests.cpp
+++ b/src/models/pools_requests.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "models/pools.hpp"
+#include "thornwick/repeat_rule.hpp"
 
 namespace thornwick::models {
 namespace {
@@ -85,6 +86,10 @@
     ++metrics_.no_attempts_left;
     return false;
   }
+  if (!may_run_at_another_model(open)) {
+    ++metrics_.may_have_run;
+    return false;
+  }
   while (const std::optional<FallbackCandidate> candidate = open.fallbacks.pop()) {
     if (open.request.deadline - now_ <= candidate->min_remaining_time) {
       ++metrics_.too_little_time;
@@ -103,6 +108,18 @@
   return false;
 }
 
+// Returns whether the attempts so far permit one at a replica of another model. The decider of that model's
+// pool does not know them, nor in which zone or cell they ran.
+bool Pools::may_run_at_another_model(const OpenRequest& open) const {
+  const std::vector<ClassSettings>& classes = options_.settings.classes;
+  if (open.request.priority_class >= classes.size()) return true;
+  const ClassSettings& request_class = classes[open.request.priority_class];
+  return std::all_of(open.attempts.begin(), open.attempts.end(), [&](const Attempt& earlier) {
+    if (!earlier.may_have_run) return true;
+    return may_repeat_at_any_replica(request_class) && now_ < repeat_limit(request_class, earlier.sent_at);
+  });
+}
+
 // Rejects a request without asking a decider.
 void Pools::reject(RequestId id, const Request& request, Allowance::Rejection reason) {
   auto allowance = std::make_shared<Allowance>();
@@ -161,7 +178,7 @@
   const auto number =
       static_cast<std::uint8_t>(std::count_if(open->attempts.begin(), open->attempts.end(),
                                               [&](const Attempt& other) { return other.pool == &pool; }));
-  open->attempts.push_back({&pool, number, action.replica});
+  open->attempts.push_back({.pool = &pool, .number = number, .replica = action.replica, .sent_at = now_});
   open->attempt_in_flight = true;
   action.model = pool.model();
   notify_pools_of(action.replica, &pool,
@@ -233,7 +250,9 @@
   now_ = now;
   OpenRequest* open = open_.find(result.id);
   if (open == nullptr || result.attempt >= open->attempts.size()) return;
-  const Attempt sent = open->attempts[result.attempt];
+  Attempt& ended = open->attempts[result.attempt];
+  ended.may_have_run = !never_ran(result.outcome);
+  const Attempt sent = ended;
   if (result.attempt + 1u == open->attempts.size()) open->attempt_in_flight = false;
   if (result.outcome == Outcome::full) sent.pool->slow_start().on_rejection(now);
   if (result.concluded || (open->concluded && !open->attempt_in_flight)) open_.erase(result.id);
--- a/src/node/counters_report.cpp
+++ b/src/node/counters_report.cpp
@@ -65,7 +65,7 @@
       << " fallback_no_budget=" << metrics.fallback_budget_exhausted
       << " fallback_not_borne=" << metrics.pool_refused << " fallback_no_time=" << metrics.too_little_time
       << " fallback_no_attempts=" << metrics.no_attempts_left
-      << " adapter_moves=" << metrics.placement_changes;
+      << " fallback_may_have_run=" << metrics.may_have_run << " adapter_moves=" << metrics.placement_changes;
 }
 
 }  // namespace thornwick::node
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "policy/request_lifecycle.hpp"
 
+#include "thornwick/repeat_rule.hpp"
+
 namespace thornwick {
 
 constexpr double kRetriesPerRequest = 0.1;  // second attempts that each request adds to the retry budget
@@ -54,8 +56,7 @@
   const ClassSettings& request_class = state_.settings.classes[pending.request.priority_class];
   if (earlier.outstanding && !state_.settings.hedging) return false;
   if (!earlier.may_have_run || request_class.effect == Effect::safe) return true;
-  const bool window_over = now >= earlier.sent_at + request_class.dedup_window;
-  if (request_class.effect == Effect::unsafe || window_over) return false;
+  if (now >= repeat_limit(request_class, earlier.sent_at)) return false;
   return share_deduplication(request_class.dedup_scope, state_.replicas.at(earlier.replica), next);
 }
 
@@ -177,9 +178,7 @@
 
 bool RequestLifecycle::may_reject(const PendingRequest& pending) const {
   const ClassSettings& request_class = state_.settings.classes[pending.request.priority_class];
-  if (request_class.effect == Effect::safe) return true;
-  const bool all_discard = request_class.dedup_scope == DedupScope::all;
-  return (request_class.effect == Effect::keyed && all_discard) || !pending.may_have_run();
+  return may_repeat_at_any_replica(request_class) || !pending.may_have_run();
 }
 
 void RequestLifecycle::cancel(const PendingRequest& pending, std::size_t attempt) {
--- a/tests/models/pools.cpp
+++ b/tests/models/pools.cpp
@@ -197,6 +197,66 @@
   CHECK(fallbacks > 100);
 }
 
+// Guards against a request that runs twice: its connection broke after the window of its class, and another
+// model's pool, which knew nothing of the first attempt, sent it again.
+TEST_CASE("a keyed request that may have run falls back to another model only within its window") {
+  Settings keyed = settings();
+  keyed.classes[0].effect = Effect::keyed;
+  keyed.classes[0].dedup_window = milliseconds(1500);
+  const bool within_window = GENERATE(true, false);
+  Simulation simulation(keyed, two_models(), {}, nullptr, 1);
+  simulation.add_replica("l-1", "L").faults = Faults{.reset = 1000};
+  simulation.add_replica("s-1", "S");
+  simulation.reset_after = within_window ? milliseconds(1400) : milliseconds(1600);
+  simulation.start();
+  for (int i = 0; i < 50; ++i) simulation.send_request(request(2)), simulation.run(20'000);
+  const auto answer_index = simulation.send_request(request(1));
+  simulation.run(6'000'000);
+  CHECK(simulation.harmful_repeats == 0);
+  CHECK(simulation.repeats == (within_window ? 1 : 0));
+  CHECK(simulation.answers[answer_index].served == within_window);
+  CHECK(simulation.answers[answer_index].overload_rejected != within_window);
+  CHECK(simulation.pools->metrics().may_have_run == (within_window ? 0 : 1));
+}
+
+// Guards against a pool whose decider allows what an attempt of another pool forbids, in any combination of
+// effect, scope, window and outcome, also where it waits before it sends.
+TEST_CASE("no request is repeated over several models where its repeat is not discarded") {
+  std::uint64_t repeats = 0;
+  CHECK(rc::check("no harmful repeat", [&] {
+    Settings drawn = settings();
+    for (ClassSettings& each : drawn.classes) {
+      each.effect = *rc::gen::element(Effect::safe, Effect::keyed, Effect::unsafe);
+      each.dedup_scope = *rc::gen::element(DedupScope::all, DedupScope::zone, DedupScope::cell);
+      each.dedup_window = milliseconds(*rc::gen::inRange(0, 4000));
+    }
+    drawn.zone_count = 2;
+    Catalogue catalogue = two_models();
+    catalogue.limits.fallback_fraction = 1, catalogue.limits.initial_fallback_fraction = 1;
+    const auto seed = static_cast<std::uint64_t>(*rc::gen::inRange(1, 1'000'000));
+    Simulation simulation(drawn, catalogue, {}, nullptr, seed);
+    for (int i = 0; i < 8; ++i) {
+      auto& replica = simulation.add_replica("b-" + std::to_string(i), i % 2 == 0 ? "L" : "S");
+      replica.listing.zone = static_cast<std::uint16_t>(i / 2 % 2);
+      replica.listing.cell = static_cast<std::uint16_t>(i / 4);
+    }
+    simulation.faults = {.full = 100, .rejected = 50, .error = 50, .reset = 200, .silent = 50, .gone = 20};
+    simulation.reset_after = milliseconds(*rc::gen::inRange(1, 4500));
+    simulation.start();
+    for (int i = 0; i < 400; ++i) {
+      Request drawn_request = request(static_cast<ModelId>(1 + i % 2));
+      drawn_request.priority_class = static_cast<std::uint8_t>(simulation.draw(2));
+      simulation.send_request(drawn_request);
+      simulation.run(10'000);
+    }
+    simulation.run(8'000'000);
+    repeats += simulation.repeats;
+    RC_ASSERT(simulation.harmful_repeats == 0u);
+    RC_ASSERT(simulation.open() == 0u);
+  }));
+  CHECK(repeats > 100);
+}
+
 // Checks rule 4 by the replica's own count: the work sent within any two seconds, against three times the
 // capacity of the replica in that time.
 TEST_CASE("a fallback does not overload a replica that is warming up") {
--- a/tests/models/world.hpp
+++ b/tests/models/world.hpp
@@ -3,6 +3,7 @@
 // derive from one seed.
 #pragma once
 
+#include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <map>
@@ -42,6 +43,7 @@
 
   Faults faults;
   Time answer_time = milliseconds(20);
+  Time reset_after = 0;  // time from the launch of an attempt to its reset; 0: some milliseconds
   std::vector<Replica> replicas;
 
   Replica& add_replica(const std::string& uid, const std::string& model, Time started = 0) {
@@ -122,6 +124,8 @@
     auto reply = std::make_unique<Reply>(*this, answer_index);
     Reply& its = *reply;
     replies_.push_back(std::move(reply));
+    // The core numbers the requests of each start from 1, and may launch an attempt before admit() returns.
+    class_of_[{incarnation_, ++last_request_[incarnation_]}] = request.priority_class;
     const RequestId id = core_->admit({request, nullptr}, its);
     answer_index_of_[{incarnation_, id}] = answer_index;
     if (draw(1000) < faults.gone && !answers[answer_index].over) {
@@ -162,6 +166,8 @@
   std::uint64_t watch_calls = 0;  // calls to watch discovery
   std::uint64_t concurrent_attempts = 0, after_first = 0,
                 excess_attempts = 0;  // violations of the guarantees
+  std::uint64_t repeats = 0;          // attempts at requests of which an earlier attempt may have run
+  std::uint64_t harmful_repeats = 0;  // those that no replica discards, by the rule of is_harmful()
 
  private:
   struct Reply final : core::Reply {
@@ -189,6 +195,36 @@
     std::uint64_t answer_characters = 0;
   };
 
+  // An attempt that may have run.
+  struct PossibleRun {
+    core::AttemptId id;
+    Endpoint replica;
+    Time launched_at = 0;
+  };
+
+  // Rule 2 of the protocol: after an attempt that may have run, a request of an unsafe class must not be sent
+  // again, and one of a keyed class only within the window of that attempt and among replicas of its group.
+  bool is_harmful(const ClassSettings& of, const PossibleRun& earlier, const Endpoint& next) const {
+    if (of.effect != Effect::keyed) return of.effect == Effect::unsafe;
+    if (now_ >= earlier.launched_at + of.dedup_window) return true;
+    if (of.dedup_scope == DedupScope::all) return false;
+    if (earlier.replica.zone != next.zone) return true;
+    return of.dedup_scope == DedupScope::cell && earlier.replica.cell != next.cell;
+  }
+  void check_repeat(core::AttemptId id, const Endpoint& next) {
+    auto& earlier = possible_runs_[{incarnation_, id.request_id}];
+    const ClassSettings& of = settings_.classes.at(class_of_.at({incarnation_, id.request_id}));
+    repeats += earlier.empty() ? 0 : 1;
+    const bool harmful = std::any_of(earlier.begin(), earlier.end(),
+                                     [&](const PossibleRun& run) { return is_harmful(of, run, next); });
+    harmful_repeats += harmful ? 1 : 0;
+    earlier.push_back({id, next, now_});
+  }
+  void note_never_ran(core::AttemptId id) {
+    std::erase_if(possible_runs_[{incarnation_, id.request_id}],
+                  [&](const PossibleRun& run) { return run.id == id; });
+  }
+
   void at(Time when, std::function<void()> step) { events_.emplace(when, std::move(step)); }
 
   Time now() const override { return now_; }
@@ -220,6 +256,7 @@
       concurrent_attempts += other.request_id == id.request_id ? 1 : 0;
     excess_attempts += id.number >= 5 ? 1 : 0;
     Replica& replica = replicas.at(target - 1);
+    check_repeat(id, replica.listing);
     ++replica.attempts;
     attempts_in_flight_[id] = {target, model, 0, 0, 0};
     const int fate = draw(1000);
@@ -238,7 +275,10 @@
     count(id, budgets::cost_of(static_cast<std::uint64_t>(prompt), 0, 0, price_of(model)));
     const auto never_runs = [=, this](Outcome outcome) {
       at(soon, [=, this] {
-        if (attempts_in_flight_.contains(id)) count(id, 0);
+        if (attempts_in_flight_.contains(id)) {
+          count(id, 0);
+          note_never_ran(id);
+        }
         ends(id, outcome);
       });
     };
@@ -246,7 +286,8 @@
     if (is(f.rejected)) return never_runs(Outcome::connect_failed);
     replica.sent.emplace_back(now_, prompt);
     if (is(f.error)) return at(soon, [=] { ends(id, Outcome::error); });
-    if (is(f.reset)) return at(soon, [=] { ends(id, Outcome::reset); });
+    const Time reset_at = reset_after > 0 ? now_ + reset_after : soon;
+    if (is(f.reset)) return at(reset_at, [=] { ends(id, Outcome::reset); });
     if (is(f.silent)) return;
     const bool breaks = is(f.broken);
     const int events = 1 + draw(5);
@@ -297,6 +338,9 @@
   std::map<core::AttemptId, Attempt> attempts_in_flight_;
   std::vector<std::unique_ptr<Reply>> replies_;
   std::map<std::pair<int, RequestId>, std::size_t> answer_index_of_;
+  std::map<std::pair<int, RequestId>, std::vector<PossibleRun>> possible_runs_;
+  std::map<std::pair<int, RequestId>, std::uint8_t> class_of_;
+  std::map<int, RequestId> last_request_;
   std::unique_ptr<core::RequestManager> core_;
   Time now_ = seconds(1'800'000'000);
   int incarnation_ = 0;
--- a/tests/net/models.cpp
+++ b/tests/net/models.cpp
@@ -300,3 +300,32 @@
   CHECK(text.find("has no account 'nobody'") != std::string::npos);
   CHECK(run("models check " THORNWICK_DEPLOY "/models.toml").first == 0);
 }
+
+// Guards against a request that runs twice: once at a replica whose connection broke after the window of the
+// request's class, and once more at another model's replica.
+TEST_CASE("a keyed request whose connection breaks after its window does not fall back to another model") {
+  const bool within_window = GENERATE(true, false);
+  Setup setup = two_models("[models]\nfallback_part = 1.0\nfirst_part = 1.0\n");
+  setup.settings = "grades.0.effect=keyed\ngrades.0.dedupScope=all\ngrades.0.window=" +
+                   std::string(within_window ? "8000000" : "500000") + "\n";
+  ScenarioRunner runner(setup);
+  for (int i = 1; i <= 12; ++i) {  // the other model's own work, a part of which it accepts as fallback
+    const std::string attempt = "attempt" + std::to_string(i);
+    runner.send("client1", request_text("s" + std::to_string(i), "small-2"));
+    runner.run(attempt + " send $stream$delta(one)$done\nclient1 expect \\r\\n0\\r\\n\\r\\n");
+  }
+  runner.send("client1", request_text("r1", "large-2"));
+  runner.run("attempt13 expect X-Request-ID: r1\\r\\n\nstall 700\nattempt13 reset");
+  if (!within_window) {
+    return runner.run(
+        "client1 expect HTTP/1.1 503 \nrouter expect fallback_may_have_run=1\n"
+        "router expect attempts=13");
+  }
+  runner.run(R"(
+    attempt14 expect X-Request-ID: r1\r\n
+    attempt14 send $stream$delta(two)$done
+    client1 expect X-Served-Model: small-2\r\n
+    client1 expect \r\n0\r\n\r\n
+    router expect fallback_may_have_run=0
+  )");
+}
