Core: no repeat is sent after its window, even if its connection comes up late

A repeat that a policy decides within the window of its class waits for its connection, which may come up after the window; a second pool's policy may let a request wait. Nothing compared the time with the earlier attempts when the request was written: the transport asked for the client, the deadline and the drain only. Ruled out: the deadline of the attempt, which is the request's and may be far behind the window. Change: the core keeps of each request the limit of a repeat from its attempts that may have run. It launches nothing from then on, whichever decider asks, and the transport asks it before the first byte (repeat_is_allowed). Such an attempt ends as not sent. Result: 'a repeat whose connection comes up after the window of its class is not sent' and '... after its class's window is not sent, and its request is rejected' fail with the check taken out (the second one with the request at the replica 2.2 s after the first, window 2 s) and pass with it.

--- a/src/core/active_request.hpp
+++ b/src/core/active_request.hpp
@@ -8,6 +8,7 @@
 #include "core/events.hpp"
 #include "core/interfaces.hpp"
 #include "core/timer_queue.hpp"
+#include "thornwick/repeat_rule.hpp"
 
 namespace thornwick::core {
 
@@ -56,6 +57,9 @@
 
   std::uint8_t next_attempt_number = 0;  // attempts that were not launched are numbered too
   bool may_have_run = false;             // whether a replica may have processed any attempt
+  // The time point from which nothing more may be sent for the request, because of its attempts that may have
+  // run.
+  Time repeat_limit = kNoRepeatLimit;
 
   double answer_characters = 0;       // length of the answer's text so far
   bool has_usage = false;             // whether summary.usage is what the replica reported
--- a/src/core/request_manager.cpp
+++ b/src/core/request_manager.cpp
@@ -31,6 +31,7 @@
                                std::unique_ptr<Decider> decider)
     : dependencies_(dependencies),
       decider_(decider ? std::move(decider) : make_routing_policy(settings, dependencies.clock.now())),
+      classes_(settings.classes),
       max_attempts_(attempt_limit(settings)),
       retry_after_(settings.retry_after ? settings.max_retry_after / 2 : 0),
       timers_(dependencies.clock) {
@@ -90,6 +91,11 @@
   return false;
 }
 
+bool RequestManager::repeat_is_allowed(AttemptId attempt) {
+  const ActiveRequest* request = find_current(attempt);
+  return request != nullptr && now() < request->repeat_limit;
+}
+
 void RequestManager::client_congested(RequestId request_id) {
   const ActiveRequest* request = find_request(request_id);
   if (request == nullptr || !request->attempt_in_flight()) return;
@@ -166,7 +172,7 @@
   const Time ended = now();
   const Usage& usage = request.summary.usage;
   ++counters_.outcomes[outcome];
-  request.may_have_run |= !never_ran(outcome);
+  if (!never_ran(outcome)) note_possible_run(request);
   decider_->on_attempt_result(ended, {.id = request.attempt.request_id,
                                       .attempt = request.attempt.number,
                                       .replica = request.replica,
@@ -181,6 +187,15 @@
                                       .report = load});
 }
 
+// Attempts follow one another, so the first one that may have run sets the earliest limit.
+void RequestManager::note_possible_run(ActiveRequest& request) const {
+  request.may_have_run = true;
+  const std::size_t priority_class = request.incoming_request.request.priority_class;
+  if (priority_class >= classes_.size()) return;
+  const Time limit = repeat_limit(classes_[priority_class], request.attempt_sent_at);
+  request.repeat_limit = std::min(request.repeat_limit, limit);
+}
+
 // The connection is closed before the routing policy learns of it, so that no two attempts of a request are
 // in flight at once. A request that was not written completely has not run, for instance because its
 // connection was not established in time. It is reported as not sent, so that a request that must not run
@@ -288,7 +303,8 @@
 bool RequestManager::may_launch(const ActiveRequest& request, AttemptId attempt, const Action& action,
                                 Time sent) const {
   return !request.attempt_in_flight() && attempt.number < max_attempts_ &&
-         sent < request.incoming_request.request.deadline && action.time != kNotSent;
+         sent < request.incoming_request.request.deadline && sent < request.repeat_limit &&
+         action.time != kNotSent;
 }
 
 void RequestManager::launch(ActiveRequest& request, AttemptId attempt, const Action& action, Time sent) {
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -4,12 +4,14 @@
 //
 // Guarantees: each admitted request gets exactly one final answer, at the latest kDeadlineSlack after its
 // deadline unless its answer has begun, and none after its client has disconnected; at most one attempt of a
-// request is in flight at any time; no timer outlives its request.
+// request is in flight at any time; after an attempt that may have run, no other is sent from the request's
+// repeat limit on (thornwick/repeat_rule.hpp), whichever decider asks for it; no timer outlives its request.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 #include "affinity/affinity_table.hpp"
 #include "core/active_request.hpp"
@@ -78,6 +80,9 @@
   // first byte, which may be long after the launch. If the client has disconnected, the attempt is abandoned
   // when the function returns.
   [[nodiscard]] bool client_is_waiting(AttemptId attempt);
+  // Returns whether the attempt may still be sent: the time in which replicas discard a repeat of its request
+  // has not passed. The transport checks it before it writes the first byte, as above.
+  [[nodiscard]] bool repeat_is_allowed(AttemptId attempt);
 
   // Events from discovery, the peers and the clock.
 
@@ -116,6 +121,7 @@
   void learn_cache_use(const ActiveRequest& request);
   void report_result(ActiveRequest& request, Outcome outcome, RequestProgress progress,
                      std::span<const float> load);
+  void note_possible_run(ActiveRequest& request) const;
   void abandon_attempt(ActiveRequest& request, Outcome outcome, RequestProgress progress);
 
   void on_timer_expired(const TimerEntry& timer);
@@ -137,6 +143,7 @@
 
   Dependencies dependencies_;
   std::unique_ptr<Decider> decider_;
+  std::vector<ClassSettings> classes_;
   std::uint32_t max_attempts_;
   Time retry_after_;  // the wait that rejections and failures of the core itself advise
   std::unordered_map<RequestId, ActiveRequest> requests_;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -120,6 +120,9 @@
   // connection itself can be reused.
   if (now_us() >= deadline_)
     return finish(Outcome::not_sent, Reuse::keep, "the deadline had passed when the connection came up");
+  if (!owner_.core_->repeat_is_allowed(attempt_))
+    return finish(Outcome::not_sent, Reuse::keep,
+                  "the time in which replicas discard a repeat had passed when the connection came up");
   // The endpoint list may have changed while the connection came up. A draining replica gets no new attempt.
   if (!owner_.endpoints_.may_send(replica_)) {
     ++owner_.counters_.replica_draining;
--- a/tests/net/attempt_races.cpp
+++ b/tests/net/attempt_races.cpp
@@ -164,3 +164,27 @@
       "client2 send $ask(r2)\nattempt2 send $stream$delta(three)$done\nclient2 expect three\nclient2 expect "
       "\\r\\n0\\r\\n\\r\\n");
 }
+
+// Guards against a request that runs twice: its repeat was decided within the window of its class, and sent
+// after it, because its connection came up late.
+TEST_CASE(
+    "a repeat whose connection comes up after its class's window is not sent, and its request is rejected") {
+  ScenarioRunner runner({.replicas = 2,
+                         .keepalive = thornwick::milliseconds(200),
+                         .settings = "grades.0.effect=keyed\ngrades.0.dedupScope=all\n"
+                                     "grades.0.window=2000000\n"});
+  for (int i = 1; i <= 12; ++i) {  // requests that save up for a retry
+    const std::string number = std::to_string(i);
+    runner.run("client1 served r" + number + " by attempt" + number);
+  }
+  runner.run(R"(
+    router expect lines=0
+    client1 send $ask(r13)
+    attempt13 expect X-Request-ID: r13\r\n
+    attempt13 send $error
+    router expect attempts=14
+    stall 2200
+    client1 expect HTTP/1.1 503 
+    router expect attempt_not_sent=1
+  )");
+}
--- a/tests/net/request_manager.cpp
+++ b/tests/net/request_manager.cpp
@@ -271,3 +271,29 @@
   environment.advance_to(core, environment.time + seconds(10));  // later than the routing policy's own timers
   CHECK(core.pending_timers() == 0);
 }
+
+// Guards against a repeat that is decided within the window and sent after it, because its connection came up
+// late.
+TEST_CASE("a repeat whose connection comes up after the window of its class is not sent") {
+  CoreEnvironment environment;
+  environment.settings.classes[0].effect = Effect::keyed;
+  environment.settings.classes[0].dedup_window = milliseconds(100);
+  RequestManager core(environment.settings, {environment, environment, environment, environment});
+  environment.list_replicas(core, 3);
+  environment.admit(core);
+  const Time first_sent = environment.time;
+  const AttemptId first = std::exchange(environment.attempts, {}).back();
+  CHECK(core.repeat_is_allowed(first));
+  environment.advance_to(core, first_sent + milliseconds(50));
+  core.attempt_ended(first, Outcome::error);
+  REQUIRE(environment.launched == 2);
+  const AttemptId second = environment.attempts.back();
+  environment.advance_to(core, first_sent + milliseconds(100) - 1);
+  CHECK(core.repeat_is_allowed(second));
+  environment.advance_to(core, first_sent + milliseconds(100));
+  CHECK_FALSE(core.repeat_is_allowed(second));
+  environment.attempts.clear();
+  core.attempt_ended(second, Outcome::not_sent);
+  CHECK(environment.launched == 2);
+  CHECK((environment.rejected == 1 && environment.answers() == 1));
+}
