Endpoint table: a replica is found by its uid, and keeps its id while it is listed

Seen by callers: after one replica had been removed, the drain of another one whose uid ends alike (k7-2a, q3-2a) was not noticed. Cause: EndpointTable::assign_id() looked for the entry from the number that the uid prefers, and took the first id that was free, had this uid, or belonged to a removed replica. Once k7-2a was removed, the search for q3-2a ended at k7-2a's id, and the change was noted there. Ruled out: that the change did not arrive (it is logged with its revision), and that the policy or a connection held it up (the policy was told of the other id only). Change: the table keeps the id of each known uid. Known replicas are applied first, and a whole list removes what it omits before new replicas get ids, so that neither the order of a list nor another replica can take the id of a listed one. A replica that gets the id of a removed one does not inherit its address.

--- a/src/net/endpoint_table.cpp
+++ b/src/net/endpoint_table.cpp
@@ -48,6 +48,11 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+std::optional<ReplicaId> EndpointTable::id_of(const std::string& uid) const {
+  const auto found = ids_.find(uid);
+  return found == ids_.end() ? std::nullopt : std::optional(found->second);
+}
+
 bool EndpointTable::may_send(ReplicaId replica) const {
   const EndpointEntry* entry = find(replica);
   return entry != nullptr && entry->listing.state == EndpointState::ready && !is_reported(replica);
@@ -84,10 +89,9 @@
 
 void EndpointTable::apply_list(simdjson::dom::element list, Source source) {
   const bool full = is_full_list(list);
-  if (full) {
-    for (auto& [id, entry] : endpoints_) entry.listing.state = EndpointState::removed;
-  }
-  const std::vector<Endpoint> entries = apply_entries(list, source);
+  std::vector<ListedEndpoint> listed = read_entries(list);
+  if (full) remove_unlisted(listed);
+  const std::vector<Endpoint> entries = apply_entries(std::move(listed), source);
   log_state_changes(source);
   forget_removed();
   EndpointUpdate update = full ? EndpointUpdate::full : EndpointUpdate::delta;
@@ -95,16 +99,37 @@
   on_update_(update, entries);
 }
 
-std::vector<Endpoint> EndpointTable::apply_entries(simdjson::dom::element list, Source source) {
-  std::vector<Endpoint> applied;
+// Returns the usable entries in the order of the list. Their ids are not assigned yet.
+std::vector<ListedEndpoint> EndpointTable::read_entries(simdjson::dom::element list) {
+  std::vector<ListedEndpoint> usable;
   std::set<std::string> uids;
   simdjson::dom::array entries;
-  if (list.at_key("targets").get(entries) != simdjson::SUCCESS) return applied;
+  if (list.at_key("targets").get(entries) != simdjson::SUCCESS) return usable;
   for (const auto entry : entries) {
     ListedEndpoint listed = read_endpoint(entry, names_);
-    listed.listing.id = assign_id(listed.uid);
-    if (!is_usable(listed, uids)) continue;
-    applied.push_back(apply_entry(std::move(listed)));
+    if (is_usable(listed, uids)) usable.push_back(std::move(listed));
+  }
+  return usable;
+}
+
+// Marks the replicas that a full list omits as removed.
+void EndpointTable::remove_unlisted(std::span<const ListedEndpoint> listed) {
+  std::set<std::string> uids;
+  for (const ListedEndpoint& entry : listed) uids.insert(entry.uid);
+  for (auto& [id, entry] : endpoints_) {
+    if (!uids.contains(entry.uid)) entry.listing.state = EndpointState::removed;
+  }
+}
+
+// Applies the entries of known replicas first: the id of a replica that the list removes can then be assigned
+// to a new one, whatever the order of the list.
+std::vector<Endpoint> EndpointTable::apply_entries(std::vector<ListedEndpoint> listed, Source source) {
+  std::stable_partition(listed.begin(), listed.end(),
+                        [this](const ListedEndpoint& entry) { return ids_.contains(entry.uid); });
+  std::vector<Endpoint> applied;
+  for (ListedEndpoint& entry : listed) {
+    entry.listing.id = id_for(entry.uid);
+    applied.push_back(apply_entry(std::move(entry)));
     if (source == Source::discovery) ++counters_.entries_applied;
   }
   return applied;
@@ -125,6 +150,11 @@
 
 Endpoint EndpointTable::apply_entry(ListedEndpoint listed) {
   EndpointEntry& entry = endpoints_[listed.listing.id];
+  if (entry.uid != listed.uid) {  // a new replica, or one that gets the id of a removed replica
+    ids_.erase(entry.uid);
+    ids_[listed.uid] = listed.listing.id;
+    entry = {};
+  }
   entry.listing = listed.listing;
   entry.uid = std::move(listed.uid);
   entry.model = std::move(listed.model);
@@ -141,13 +171,18 @@
   return entry.listing;
 }
 
+// A replica is identified by its uid alone, and keeps the id that it has, whoever else would prefer it.
+ReplicaId EndpointTable::id_for(const std::string& uid) const {
+  const std::optional<ReplicaId> known = id_of(uid);
+  return known ? *known : unused_id_for(uid);
+}
+
 // The id of a removed replica can be assigned again. Otherwise routers that never knew the removed replica
 // would assign other ids than this one.
-ReplicaId EndpointTable::assign_id(const std::string& uid) const {
+ReplicaId EndpointTable::unused_id_for(const std::string& uid) const {
   ReplicaId id = preferred_id(uid);
   for (const EndpointEntry* other = find(id);
-       other != nullptr && other->uid != uid && other->listing.state != EndpointState::removed;
-       other = find(id)) {
+       other != nullptr && other->listing.state != EndpointState::removed; other = find(id)) {
     logging::warning("endpoints") << logging::field("replica", uid) << " has the same id as " << other->uid;
     ++id;
   }
@@ -186,7 +221,9 @@
   }
   for (; removed_.size() > kMaxRemovedReplicas; removed_.pop_front()) {
     const auto found = endpoints_.find(removed_.front());
-    if (found != endpoints_.end() && found->second.queued_for_removal) endpoints_.erase(found);
+    if (found == endpoints_.end() || !found->second.queued_for_removal) continue;
+    ids_.erase(found->second.uid);
+    endpoints_.erase(found);
   }
 }
 
--- a/src/net/endpoint_table.hpp
+++ b/src/net/endpoint_table.hpp
@@ -14,6 +14,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "core/discovery_schedule.hpp"
@@ -78,6 +79,8 @@
   // Returns the replica's entry, valid until the next list is applied; null if the replica is not known.
   // Removed replicas stay known for a while.
   const EndpointEntry* find(ReplicaId replica) const;
+  // Returns the replica's id; none if the replica is not known. A listed replica keeps its id.
+  std::optional<ReplicaId> id_of(const std::string& uid) const;
   // Whether the replica may get new attempts: the list has it as ready, and no peer reports it as draining or
   // removed.
   bool may_send(ReplicaId replica) const;
@@ -90,12 +93,15 @@
   enum class Source { discovery, cache };
 
   void apply_list(simdjson::dom::element list, Source source);
-  std::vector<Endpoint> apply_entries(simdjson::dom::element list, Source source);
+  std::vector<ListedEndpoint> read_entries(simdjson::dom::element list);
+  void remove_unlisted(std::span<const ListedEndpoint> listed);
+  std::vector<Endpoint> apply_entries(std::vector<ListedEndpoint> listed, Source source);
   bool is_reported(ReplicaId replica) const { return reported_by_peers_ && reported_by_peers_(replica); }
   bool is_usable(const ListedEndpoint& listed, std::set<std::string>& uids);
   Endpoint apply_entry(ListedEndpoint listed);
   void log_state_changes(Source source);
-  ReplicaId assign_id(const std::string& uid) const;
+  ReplicaId id_for(const std::string& uid) const;
+  ReplicaId unused_id_for(const std::string& uid) const;
   void reject_entry(EntryFault fault, const std::string& uid);
   void forget_removed();
 
@@ -103,7 +109,8 @@
   OnUpdate on_update_;
   std::function<bool(ReplicaId)> reported_by_peers_;  // empty: there are no peers
   std::map<ReplicaId, EndpointEntry> endpoints_;
-  std::deque<ReplicaId> removed_;  // the replica removed first comes first
+  std::unordered_map<std::string, ReplicaId> ids_;  // of all replicas in endpoints_, by uid
+  std::deque<ReplicaId> removed_;                   // the replica removed first comes first
   DiscoveryCounters counters_;
   logging::RateLimiter log_limiter_;
   DiscoveryClient client_;
--- a/tests/net/endpoint_lists.cpp
+++ b/tests/net/endpoint_lists.cpp
@@ -144,6 +144,34 @@
   runner.run("client1 send $ask(r1)\nattempt1 expect X-Request-ID: r1\\r\\n");
 }
 
+// Guards against requests to a draining replica: a change was noted under the id of a removed replica whose
+// uid ends alike.
+TEST_CASE("a change of a replica takes effect after the removal of one whose uid ends alike") {
+  struct Uids {
+    std::string removed, remaining;
+  };
+  const auto uids = GENERATE(
+      values<Uids>({{"k7-2a", "q3-2a"}, {"fast-1", "standard-1"}, {"a-5be2a07c", "b-5be2a07c"}, {"x", "y"}}));
+  const bool removed_first = GENERATE(true, false);
+  const std::string state = GENERATE(as<std::string>(), "DRAINING", "DELETED");
+  ScenarioRunner runner({.replicas = 2});
+  runner.run("list expect GET /registry/instances");
+  const std::string removed = entry(uids.removed, runner.replica(0), "SERVING");
+  const std::string remaining = entry(uids.remaining, runner.replica(1), "SERVING");
+  answer_list(runner, "2",
+              entry("s-01", runner.replica(0), "DELETED") + "," +
+                  entry("s-02", runner.replica(1), "DELETED") + "," +
+                  (removed_first ? removed + "," + remaining : remaining + "," + removed));
+  answer_list(runner, "3", entry(uids.removed, runner.replica(0), "DELETED"));
+  runner.run("client1 served r1 by attempt1");
+  answer_list(runner, "4", entry(uids.remaining, runner.replica(1), state));
+  runner.run(R"(
+    client1 send $ask(r2,300)
+    client1 expect HTTP/1.1 503 
+    router expect attempts=1
+  )");
+}
+
 TEST_CASE(
     "a new address of discovery is called for its full list at once, and answers of the old address are "
     "ignored") {
