Endpoint list: ids of replicas do not depend on the order in which they are learned

Uids with a short number at the end (fast-1, standard-1) share the number, so a router gave the second one it learned of the next free id. Routers with other histories numbered the replicas differently: they cut the intervals in different orders, and a drain report, an observation or a handed-over record named another replica at the peer or the new process. Ruled out: another rule for collisions only, since ids must also be stable once given, so any rule that looks at who is listed depends on the order. Change: the number at the end counts only if it has all eight hexadecimal digits, as in the protocol's example; otherwise the id is a hash of the whole uid. Uids of that form keep their ids.

--- a/src/net/endpoint_list.cpp
+++ b/src/net/endpoint_list.cpp
@@ -15,6 +15,8 @@
 constexpr ReplicaId kFnvOffset = 0x811c9dc5u;
 constexpr ReplicaId kFnvPrime = 0x01000193u;
 
+constexpr std::size_t kReplicaIdDigits = 8;  // hexadecimal digits of a ReplicaId
+
 // Returns 0 for a name that is not in the list.
 std::uint16_t index_of(const std::vector<std::string>& names, const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
@@ -25,6 +27,17 @@
   return index < names.size() ? names[index] : std::string();
 }
 
+// Returns the hexadecimal number behind the last hyphen of the uid, if it has all digits of an id. A shorter
+// one, as in "fast-1" and "standard-1", does not tell replicas apart.
+std::optional<ReplicaId> complete_number(const std::string& uid) {
+  const std::string digits = uid.substr(uid.rfind('-') + 1);
+  if (digits.size() != kReplicaIdDigits) return std::nullopt;
+  const char* last = digits.data() + digits.size();
+  ReplicaId number = 0;
+  const auto [end, error] = std::from_chars(digits.data(), last, number, 16);
+  return error == std::errc{} && end == last ? std::optional(number) : std::nullopt;
+}
+
 EndpointState read_state(const std::string& text) {
   if (text == "SERVING") return EndpointState::ready;
   if (text == "DRAINING") return EndpointState::draining;
@@ -90,11 +103,7 @@
 }
 
 ReplicaId preferred_id(const std::string& uid) {
-  const auto digits = uid.substr(uid.rfind('-') + 1);
-  const char* last = digits.data() + digits.size();
-  ReplicaId id = 0;
-  const auto [end, error] = std::from_chars(digits.data(), last, id, 16);
-  if (!digits.empty() && error == std::errc{} && end == last) return id;
+  if (const std::optional<ReplicaId> number = complete_number(uid)) return *number;
   ReplicaId hash = kFnvOffset;
   for (const char byte : uid) hash = (hash ^ static_cast<unsigned char>(byte)) * kFnvPrime;
   return hash;
--- a/src/net/endpoint_list.hpp
+++ b/src/net/endpoint_list.hpp
@@ -49,8 +49,9 @@
 // Writes a full list. `entries`: results of write_endpoint(), separated by commas.
 std::string write_endpoint_list(std::optional<std::uint64_t> revision, const std::string& entries);
 
-// Returns the hexadecimal number at the end of the uid, or a hash of the uid if it does not end in a number.
-// The routing policy sorts replicas by this id, and all routers must sort them in the same order.
+// Returns the hexadecimal number at the end of the uid if it has eight digits, as in "s-5be2a07c", or else a
+// hash of the whole uid. The routing policy sorts replicas by this id, and routers name replicas to each
+// other by it, so it must not depend on which other replicas a router knows.
 ReplicaId preferred_id(const std::string& uid);
 
 }  // namespace thornwick::net
--- a/tests/net/endpoint_table.cpp
+++ b/tests/net/endpoint_table.cpp
@@ -104,3 +104,29 @@
     }
   }));
 }
+
+// Guards against routers that cut the intervals differently, and that name a replica to each other by an id
+// that is another replica's at the peer: the id depended on the order in which a router had learned of the
+// replicas.
+TEST_CASE("routers that have seen different lists assign the same id to a replica") {
+  CHECK(rc::check("ids do not depend on the lists", [] {
+    Table experienced;
+    std::map<std::string, std::string> said;
+    const int lists = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < lists; ++i) {
+      const bool full = *rc::gen::arbitrary<bool>();
+      std::vector<Said> entries = draw_entries(full);
+      // These two share a complete number, so the order decides which one gets it.
+      std::erase_if(entries, [](const Said& each) { return each.uid == "b-5be2a07c"; });
+      experienced.apply(full, entries);
+      if (full) said.clear();
+      for (const Said& each : entries) said[each.uid] = each.state;
+      std::erase_if(said, [](const auto& each) { return each.second == "DELETED"; });
+    }
+    Table fresh;
+    std::vector<Said> current;
+    for (const auto& [uid, state] : said) current.insert(current.begin(), {uid, state});
+    fresh.apply(true, current);
+    for (const Said& each : current) RC_ASSERT(experienced.id_of(each.uid) == fresh.id_of(each.uid));
+  }));
+}
