Store: records of replicas follow the uid, whichever id the replica has now

Cause: the store's records have the id and the uid of a replica, and were restored by the id alone. A replica that has another id at the next start lost its estimates, or got another one's. Ruled out: a change of the stored form; the uid has been in the records all along. Hand-over records have none, and are left as they are. Change: a record with a uid is restored under the id that the router gives that uid now. Result: 'stored estimates belong to the replica of their uid, whichever id it has now' fails without the change and passes with it.

--- a/src/node/durable_state.cpp
+++ b/src/node/durable_state.cpp
@@ -20,8 +20,9 @@
 
 }  // namespace
 
-DurableState::DurableState(const config::Config& config, ReplicaUidLookup uid_of)
-    : config_(config), uid_of_(std::move(uid_of)), affinity_log_(uid_of_) {
+DurableState::DurableState(const config::Config& config, ReplicaUidLookup uid_of,
+                           persistence::ReplicaIdLookup id_of)
+    : config_(config), uid_of_(std::move(uid_of)), id_of_(std::move(id_of)), affinity_log_(uid_of_) {
   if (config.operator_file.affinity.enabled)
     affinity_table_ = std::make_unique<affinity::AffinityTable>(affinity_options(config), &affinity_log_);
   open_store();
@@ -60,7 +61,7 @@
 }
 
 void DurableState::load_affinity_table() {
-  const auto loaded = state_store_->load(*affinity_table_, net::now_us());
+  const auto loaded = state_store_->load(*affinity_table_, net::now_us(), id_of_);
   logging::info("store") << "loaded from " << config_.operator_file.store.file << ": " << loaded.sessions
                          << " sessions, " << loaded.prefixes << " prefixes, " << loaded.replicas
                          << " replicas; " << loaded.unreadable << " unreadable, " << loaded.over_capacity
--- a/src/node/durable_state.hpp
+++ b/src/node/durable_state.hpp
@@ -24,7 +24,7 @@
   // Opens the store and loads its contents. If the store cannot be opened, an error is logged and the router
   // serves without a store. `config` is not owned, must outlive this object, and may change. Throws
   // BadConfig.
-  DurableState(const config::Config& config, ReplicaUidLookup uid_of);
+  DurableState(const config::Config& config, ReplicaUidLookup uid_of, persistence::ReplicaIdLookup id_of);
 
   // Makes all state durable at the end of a graceful shutdown. Blocks for at most `timeout` (microseconds).
   // Returns false if the time was too short.
@@ -62,6 +62,7 @@
 
   const config::Config& config_;
   ReplicaUidLookup uid_of_;
+  persistence::ReplicaIdLookup id_of_;
   AffinityLog affinity_log_;
   // Members are destroyed in reverse order, so that members that refer to the store are destroyed before the
   // store.
--- a/src/node/endpoint_names.hpp
+++ b/src/node/endpoint_names.hpp
@@ -14,6 +14,11 @@
   return entry == nullptr ? std::to_string(replica) : entry->uid;
 }
 
+// Returns the replica's id, or the one that it would prefer if the endpoint table does not have the replica.
+inline ReplicaId id_of(const net::EndpointTable& endpoints, const std::string& uid) {
+  return endpoints.id_of(uid).value_or(net::preferred_id(uid));
+}
+
 // Returns the names by which the catalogue selects replicas. They are empty if the endpoint table no longer
 // has the replica.
 inline models::ReplicaIdentity replica_identity(const net::EndpointTable& endpoints, ReplicaId replica) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,7 +34,9 @@
              }),
       upstream_(upstream_pool_options(), endpoints_),
       flow_exporter_(make_flow_exporter()),
-      durable_state_(config_, [this](ReplicaId replica) { return uid_of(endpoints_, replica); }),
+      durable_state_(
+          config_, [this](ReplicaId replica) { return uid_of(endpoints_, replica); },
+          [this](const std::string& uid) { return id_of(endpoints_, uid); }),
       recorder_(metrics_, endpoints_, flow_exporter_.get()),
       core_(make_core()),
       fronts_({.config = config_, .router_lifecycle = lifecycle_, .names = names_, .metrics = metrics_}),
--- a/src/persistence/restoration.cpp
+++ b/src/persistence/restoration.cpp
@@ -1,5 +1,7 @@
 #include "persistence/restoration.hpp"
 
+#include <string>
+
 #include "persistence/affinity_records.hpp"
 
 namespace thornwick::persistence {
@@ -8,14 +10,16 @@
 // Reads records of an affinity table into it, and counts them.
 class Restorer {
  public:
-  explicit Restorer(affinity::AffinityTable& affinity_table) : affinity_table_(affinity_table) {}
+  Restorer(affinity::AffinityTable& affinity_table, const ReplicaIdLookup& id_of)
+      : affinity_table_(affinity_table), id_of_(id_of) {}
 
   void add_replica(std::string_view key, std::string_view bytes) {
-    const auto stored = decode_replica(key, bytes);
+    auto stored = decode_replica(key, bytes);
     if (!stored) {
       ++counts_.unreadable;
       return;
     }
+    if (id_of_ && has_uid(*stored)) stored->replica.id = id_of_(stored->uid);
     count(affinity_table_.restore_replica(stored->slot, stored->replica), counts_.replicas);
   }
 
@@ -47,15 +51,21 @@
     ++counter;
   }
 
+  // A replica whose uid was not known when it was recorded has its id in digits instead.
+  static bool has_uid(const StoredReplica& stored) {
+    return !stored.uid.empty() && stored.uid != std::to_string(stored.replica.id);
+  }
+
   affinity::AffinityTable& affinity_table_;
+  const ReplicaIdLookup& id_of_;
   RestoredCounts counts_;
 };
 
 }  // namespace
 
 RestoredCounts restore_affinity_table(affinity::AffinityTable& affinity_table, Time now,
-                                      const RecordSource& source) {
-  Restorer restorer(affinity_table);
+                                      const RecordSource& source, const ReplicaIdLookup& id_of) {
+  Restorer restorer(affinity_table, id_of);
   source(kReplicaTable,
          [&](std::string_view key, std::string_view bytes) { restorer.add_replica(key, bytes); });
   source(kSessionTable,
--- a/src/persistence/restoration.hpp
+++ b/src/persistence/restoration.hpp
@@ -27,10 +27,15 @@
 // Calls the visitor with each record of a table.
 using RecordSource = std::function<void(StateTable, const RecordVisitor&)>;
 
+// Returns the id that the router gives a replica now, by its uid.
+using ReplicaIdLookup = std::function<ReplicaId(const std::string& uid)>;
+
 // Fills a table that is still empty with the records of the source: the replicas first, to which the sessions
 // and prefixes refer. Cached prompts age by what other routers are likely to have sent between the records'
-// last use and `now`. A record that cannot be taken is passed over and counted.
+// last use and `now`. A record that cannot be taken is passed over and counted. A record of a replica that
+// has a uid gets the id of `id_of` rather than the stored one, which the replica may have had under another
+// list; if `id_of` is empty, all records keep their ids.
 RestoredCounts restore_affinity_table(affinity::AffinityTable& affinity_table, Time now,
-                                      const RecordSource& source);
+                                      const RecordSource& source, const ReplicaIdLookup& id_of = {});
 
 }  // namespace thornwick::persistence
--- a/src/persistence/state_store.cpp
+++ b/src/persistence/state_store.cpp
@@ -10,10 +10,11 @@
                        ReplicaUidLookup uid_of)
     : file_(file, state_tables()), writer_(file_, writer), uid_of_(std::move(uid_of)) {}
 
-RestoredCounts StateStore::load(affinity::AffinityTable& affinity_table, Time now) {
+RestoredCounts StateStore::load(affinity::AffinityTable& affinity_table, Time now,
+                                const ReplicaIdLookup& id_of) {
   const RestoredCounts counts = restore_affinity_table(
       affinity_table, now,
-      [this](StateTable table, const RecordVisitor& visitor) { file_.each(table, visitor); });
+      [this](StateTable table, const RecordVisitor& visitor) { file_.each(table, visitor); }, id_of);
   affinity_table.set_journal(this);
   return counts;
 }
--- a/src/persistence/state_store.hpp
+++ b/src/persistence/state_store.hpp
@@ -22,8 +22,9 @@
   StateStore(const store::FileOptions& file, const store::WriterOptions& writer, ReplicaUidLookup uid_of);
 
   // Fills a table that is still empty with the file's records, as of `now`, and becomes its journal. Neither
-  // owns the other: the table must not change any more once this is destroyed. Throws store::StoreError.
-  RestoredCounts load(affinity::AffinityTable& affinity_table, Time now);
+  // owns the other: the table must not change any more once this is destroyed. `id_of`: as for
+  // restore_affinity_table(). Throws store::StoreError.
+  RestoredCounts load(affinity::AffinityTable& affinity_table, Time now, const ReplicaIdLookup& id_of = {});
 
   // Each returns false if the writer has no room; the table offers the change again later.
   bool save_session(std::uint64_t key, const affinity::Session& session) override;
--- a/tests/affinity/persistence.cpp
+++ b/tests/affinity/persistence.cpp
@@ -27,12 +27,13 @@
 }
 
 struct RouterProcess {
-  explicit RouterProcess(const Scratch& scratch, Time start, Options options = {.table = {.entries = 20'000}})
+  explicit RouterProcess(const Scratch& scratch, Time start, Options options = {.table = {.entries = 20'000}},
+                         const persistence::ReplicaIdLookup& id_of = {})
       : now(start),
         state_store({.path = scratch.path("s"), .holder = "n1"}, {},
                     [](ReplicaId id) { return "s-" + std::to_string(id); }),
         affinity_table(options),
-        loaded(state_store.load(affinity_table, now)) {}
+        loaded(state_store.load(affinity_table, now, id_of)) {}
 
   void list(std::initializer_list<Endpoint> entries) {
     affinity_table.on_endpoints(EndpointUpdate::full, std::span(entries.begin(), entries.size()));
@@ -85,6 +86,27 @@
   CHECK(known >= 100);
 }
 
+// Guards against estimates that are taken for another replica's: the id of a replica may differ from the one
+// that it had when the estimate was stored, and its uid may not.
+TEST_CASE("stored estimates belong to the replica of their uid, whichever id it has now") {
+  const Scratch scratch;
+  const Time start = seconds(2'000'000);
+  {
+    RouterProcess router(scratch, start);
+    router.list({{.id = 1}, {.id = 2}});
+    router.answer(request_in_session(7, 2000), 1);
+    router.answer(request_in_session(8, 2000), 2);
+    router.stop();
+  }
+  const auto id_of = [](const std::string& uid) -> ReplicaId { return uid == "s-1" ? 2 : 3; };
+  RouterProcess router(scratch, start + seconds(1), {.table = {.entries = 20'000}}, id_of);
+  router.list({{.id = 1}, {.id = 2}, {.id = 3}});
+  const CacheHint first = router.affinity_table.find_hint(router.now, request_in_session(7, 2500));
+  const CacheHint second = router.affinity_table.find_hint(router.now, request_in_session(8, 2500));
+  CHECK((first.has_replica && first.replica == 2));
+  CHECK((second.has_replica && second.replica == 3));
+}
+
 TEST_CASE("no estimate is lost if the clock goes backwards across a restart") {
   const Scratch scratch;
   const Time start = seconds(2'000'000);
