Tests: the results of three random checks are asserted

Cause: rc::check() returns whether the property held; three calls (two in group/membership, one in replication/ledger) dropped the result, so their tests could not fail. Change: CHECK(rc::check(...)), nothing else.

--- a/tests/group/membership.cpp
+++ b/tests/group/membership.cpp
@@ -115,20 +115,20 @@
 
 TEST_CASE("a message with changed, missing or added bytes is rejected, and so are random bytes") {
   const std::string good = write(full_message(3));
-  rc::check("changed bytes", [&] {
+  CHECK(rc::check("changed bytes", [&] {
     std::string changed = good;
     const auto at = *rc::gen::inRange<std::size_t>(0, changed.size());
     changed[at] = static_cast<char>(changed[at] ^ *rc::gen::inRange(1, 256));
     const auto result = read(bytes_of(changed), 7);
     RC_ASSERT(!result);
     RC_ASSERT(result.error() != ReadError::none);
-  });
-  rc::check("other lengths, other bytes", [&] {
+  }));
+  CHECK(rc::check("other lengths, other bytes", [&] {
     const auto bytes = *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::arbitrary<std::uint8_t>());
     RC_ASSERT(!read(bytes, 7));
     const auto length = *rc::gen::inRange<std::size_t>(0, good.size());
     RC_ASSERT(!read(bytes_of(good).first(length), 7));
-  });
+  }));
 }
 
 TEST_CASE("each error of a roster is reported with its line") {
--- a/tests/replication/ledger.cpp
+++ b/tests/replication/ledger.cpp
@@ -150,7 +150,7 @@
 }  // namespace
 
 TEST_CASE("a ledger: each unit is either available, or in one lease, or charged") {
-  rc::check("after any requests, repeats, corrections and expiries", [] {
+  CHECK(rc::check("after any requests, repeats, corrections and expiries", [] {
     Ledger ledger;
     struct Sent {
       std::uint64_t number = 0;
@@ -188,7 +188,7 @@
       }
       RC_ASSERT(ledger.invariant_violation() == "");
     }
-  });
+  }));
 }
 
 TEST_CASE("a ledger: repeated and late lease requests change nothing, and a correction is applied once") {
