--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -8,7 +8,8 @@
 
 constexpr int kBudget = 6000;        // tokens a minute
 constexpr int kPromptTokens = 4000;  // of each request
-constexpr int kRequests = 10;        // each from another member
+constexpr int kRequests = 20;        // each from another member
+constexpr int kOneIn = 4;            // one request in so many has its connection reset
 
 }  // namespace
 
@@ -27,7 +28,8 @@
             times = ++ran[id];
           }
           note("worker " + uid + ": has done the work of " + id);
-          if (setting.trouble && times == 1) {
+          const bool is_chosen = std::atoi(id.substr(id.rfind('-') + 1).c_str()) % kOneIn == 0;
+          if (setting.trouble && is_chosen && times == 1) {
             note("worker " + uid + ": the connection is reset under " + id);
             socket.reset();
             return;
@@ -72,7 +74,8 @@
       note("BROKEN: " + id + " was refused with " + std::to_string(answer.status) +
            " after its work was done " + std::to_string(ran[id]) + " time(s)");
     }
-    note("refused after their work was done: " + std::to_string(broken) + " of " + std::to_string(kRequests));
+    note("refused after their work was done: " + std::to_string(broken) + " of " +
+         std::to_string(kRequests / kOneIn) + " whose connection was reset");
     if (answered == 0) throw CannotRun("no request was answered");
     return broken > 0 ? kBroken : kHeld;
   });
