--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -31,7 +31,7 @@
         sleep_s(0.02);
         const std::string answer = whole_stream({"answer-to-" + id, " and", " the", " rest"});
         if (!socket.write(answer)) return;
-        if (!setting.trouble || ++answers % kOneIn != 5) continue;
+        if (!setting.disrupted || ++answers % kOneIn != 5) continue;
         sleep_s(kLate);
         note("worker: sends the answer to " + id + " a second time");
         ++second_answers;
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -29,7 +29,7 @@
           }
           note("worker " + uid + ": has done the work of " + id);
           const bool is_chosen = std::atoi(id.substr(id.rfind('-') + 1).c_str()) % kOneIn == 0;
-          if (setting.trouble && is_chosen && times == 1) {
+          if (setting.disrupted && is_chosen && times == 1) {
             note("worker " + uid + ": the connection is reset under " + id);
             socket.reset();
             return;
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -52,7 +52,7 @@
     const long before = ran;
     note("tokens that ran: " + std::to_string(before) + ", budget: " + std::to_string(kBudget));
     std::unique_ptr<Process> new_process;
-    if (setting.trouble) {
+    if (setting.disrupted) {
       note("platform: starts the program once more");
       new_process = std::make_unique<Process>(setting.root, setting.run, environment(second_ops),
                                               setting.temporary + "/new.log");
--- a/review/standins-2/standin.hpp
+++ b/review/standins-2/standin.hpp
@@ -669,7 +669,7 @@
 // file's key `run`, a temporary folder, and whether the disruption happens.
 struct Setting {
   std::string folder, root, run, temporary;
-  bool trouble = true;
+  bool disrupted = true;
 };
 
 inline std::string variable(const char* name) {
@@ -771,10 +771,10 @@
     setting.root = variable("CASE_ROOT");
     setting.run = variable("CASE_RUN");
     setting.temporary = variable("CASE_TMP");
-    const char* trouble = std::getenv("TROUBLE");
-    setting.trouble = trouble == nullptr || std::string(trouble) != "0";
+    const char* disruption = std::getenv("CASE_DISRUPTION");
+    setting.disrupted = disruption == nullptr || std::string(disruption) != "0";
     Record::instance().open(setting.folder + "/record.txt");
-    note(std::string("the disruption ") + (setting.trouble ? "happens" : "is left out"));
+    note(std::string("the disruption ") + (setting.disrupted ? "happens" : "is left out"));
     const int status = play(setting);
     note(status == kHeld ? "RESULT: the rule held" : "RESULT: the rule was broken");
     return status;
