--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,4 +1,4 @@
-// Case 10: requests that the router has taken get no answer when it is told to end. See claim.txt.
+// Case 10: requests that the router has taken get no answer after SIGTERM. See claim.txt.
 #include "../standins-2/standin.hpp"
 
 using namespace standin;
