--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,82 +1,86 @@
-// Case 7: a budget that runs out before a retry makes the router refuse a request that has run. See
+// Case 7: while the process is replaced, the id of an open request runs a second time. See claim.txt.
 // claim.txt.
 #include "../standins-2/standin.hpp"
 
 using namespace standin;
 
-namespace {
-
-constexpr int kBudget = 6000;        // tokens a minute
-constexpr int kPromptTokens = 4000;  // of each request
-constexpr int kRequests = 20;        // each from another member
-constexpr int kOneIn = 4;            // one request in so many has its connection reset
-
-}  // namespace
-
 int main() {
   return run_case([](const Setting& setting) {
     std::mutex mutex;
-    std::map<std::string, int> ran;  // by request: how often its work was done
-    const auto serve_as = [&](const std::string& uid) {
-      return [&, uid](Socket& socket, const std::atomic<bool>& stop) {
-        while (const auto request = read_request(socket, stop)) {
-          const std::string id = request->header("X-Request-ID");
-          sleep_s(0.02);
-          int times = 0;
-          {
-            const std::lock_guard lock(mutex);
-            times = ++ran[id];
-          }
-          note("worker " + uid + ": has done the work of " + id);
-          const bool is_chosen = std::atoi(id.substr(id.rfind('-') + 1).c_str()) % kOneIn == 0;
-          if (setting.disrupted && is_chosen && times == 1) {
-            note("worker " + uid + ": the connection is reset under " + id);
-            socket.reset();
-            return;
-          }
-          const std::string answer = stream_head() + chunk(text_event("text")) + chunk(stop_event("")) +
-                                     chunk(usage_event(kPromptTokens, 60)) + chunk(kDone) + kLastChunk;
-          if (!socket.write(answer)) return;
+    std::map<std::string, int> running, most;
+    Server worker([&](Socket& socket, const std::atomic<bool>& stop) {
+      while (const auto request = read_request(socket, stop)) {
+        const std::string id = request->header("X-Request-ID");
+        {
+          const std::lock_guard lock(mutex);
+          most[id] = std::max(most[id], ++running[id]);
+          note("worker: begins " + id + ", now running with this id: " + std::to_string(running[id]));
         }
-      };
-    };
-    Server first(serve_as("s-0000000a")), second(serve_as("s-0000000b"));
+        bool open = socket.write(stream_head() + chunk(text_event("begin")));
+        for (int i = 0; open && !stop && i < 40; ++i) {
+          sleep_s(0.1);
+          open = socket.write(chunk(text_event("more")));
+        }
+        if (open)
+          open =
+              socket.write(chunk(stop_event("")) + chunk(usage_event(100, 42)) + chunk(kDone) + kLastChunk);
+        {
+          const std::lock_guard lock(mutex);
+          --running[id];
+          note("worker: ends " + id);
+        }
+        if (!open) return;
+      }
+    });
     Discovery discovery("discovery");
-    discovery.set({.uid = "s-0000000a", .port = first.port()});
-    discovery.set({.uid = "s-0000000b", .port = second.port()});
+    discovery.set({.uid = "s-0000000a", .port = worker.port()});
     const int port = free_port();
+    const std::string first_ops = address_of(free_port()), second_ops = address_of(free_port());
     RouterFile file{.listen = port, .discovery = discovery.port(), .known = discovery.list()};
-    file.settings.effect = "keyed";
-    file.settings.dedup_scope = "zone";
-    for (int i = 1; i <= kRequests; ++i) file.settings.tenants.push_back("member-" + std::to_string(i));
-    write_file(setting.temporary + "/config.json", file.json());
-    write_file(setting.temporary + "/operator.toml",
-               "[[budget]]\nname = \"minute\"\nmember = \"each\"\nper = \"minute\"\ntokens = " +
-                   std::to_string(kBudget) + "\n");
-    Process router(setting.root, setting.run, {{"GW_CONFIG", setting.temporary + "/config.json"}},
-                   setting.temporary + "/router.log");
+    const std::string config = setting.temporary + "/config.json";
+    write_file(config, file.json());
+    const auto environment = [&](const std::string& ops) {
+      return std::vector<std::pair<std::string, std::string>>{
+          {"GW_CONFIG", config}, {"GW_OPS", ops}, {"TMPDIR", setting.temporary}};
+    };
+    Process old_process(setting.root, setting.run, environment(first_ops), setting.temporary + "/old.log");
     wait_until_ready(port);
 
-    int broken = 0, answered = 0;
-    for (int i = 1; i <= kRequests; ++i) {
-      const std::string id = "request-" + std::to_string(i);
-      const Answer answer = ask(port,
-                                {.id = id,
-                                 .tenant = "member-" + std::to_string(i),
-                                 .session = std::to_string(i),
-                                 .prompt_tokens = kPromptTokens,
-                                 .max_tokens = 500},
-                                8);
-      if (answer.status != 0) ++answered;
-      const std::lock_guard lock(mutex);
-      if (!answer.refused() || ran[id] == 0) continue;
-      ++broken;
-      note("BROKEN: " + id + " was refused with " + std::to_string(answer.status) +
-           " after its work was done " + std::to_string(ran[id]) + " time(s)");
+    Answer usual;
+    std::thread client([&] { usual = ask(port, {.id = "open-request"}, 20); });
+    if (!wait_until(5, [&] {
+          const std::lock_guard lock(mutex);
+          return running["open-request"] == 1;
+        }))
+      throw CannotRun("the worker did not get the request");
+
+    std::unique_ptr<Process> new_process;
+    if (setting.disrupted) {
+      note("platform: starts the program once more");
+      new_process = std::make_unique<Process>(setting.root, setting.run, environment(second_ops),
+                                              setting.temporary + "/new.log");
+      const int ops_port = std::atoi(second_ops.substr(second_ops.find(':') + 1).c_str());
+      const auto says_yes = [&] {
+        Socket socket = connect_to(ops_port);
+        std::string answer;
+        if (!socket.open() || !socket.write("HEALTH\n")) return false;
+        socket.read(answer, now_s() + 1);
+        return answer.starts_with("+OK");
+      };
+      if (!wait_until(6, says_yes)) throw CannotRun("the new process does not say yes");
+      note("platform: the new process says yes");
+      sleep_s(0.3);
+      note("platform: SIGTERM to the old process");
+      old_process.signal(SIGTERM);
     }
-    note("refused after their work was done: " + std::to_string(broken) + " of " +
-         std::to_string(kRequests / kOneIn) + " whose connection was reset");
-    if (answered == 0) throw CannotRun("no request was answered");
-    return broken > 0 ? kBroken : kHeld;
+    note("bad client: sends the id of the open request");
+    const Answer bad = ask(port, {.id = "open-request", .prompt = "something else"}, 20);
+    client.join();
+    const int copies = most["open-request"];
+    note("most copies that ran at once: " + std::to_string(copies));
+    note(summary("usual client", usual));
+    note(summary("bad client", bad));
+    const bool served = bad.status == 200;
+    return copies > 1 || served ? kBroken : kHeld;
   });
 }
