--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,5 +1,7 @@
 // Case 10: where lists are pushed, a draining worker gets new work after an outage of discovery. See
 // claim.txt. claim.txt. claim.txt.
+#include <random>
+
 #include "../standins-2/standin.hpp"
 
 using namespace standin;
@@ -8,6 +10,7 @@
 
 constexpr int kRounds = 13;
 constexpr double kOutage = 3;    // s, at least
+constexpr double kLonger = 1.3;  // s, how much longer an outage is at most
 constexpr double kGrace = 0.95;  // s: stopSendingWithin, and 50 ms more on sockets
 constexpr double kAnswer = 0.2;  // s that an answer takes
 constexpr double kEnd = 1.2;     // s after its drain, a worker's process ends: six times the longest answer
@@ -70,11 +73,13 @@
       });
     }
     int late_sends = 0, late_rounds = 0;
+    std::mt19937 random(std::random_device{}());
     for (int round = 0; round < kRounds; ++round) {
       sleep_s(1.2);
       if (setting.disrupted) agent.set_silent(true);
       // The length of the outage has nothing to do with the router's calls.
-      sleep_s(kOutage + 0.1 * (7 * round % 10));
+      const double outage = std::uniform_real_distribution<double>(kOutage, kOutage + kLonger)(random);
+      sleep_s(outage);
       agent.set(target(round, "DRAINING"));
       const double learned = now_s();
       if (setting.disrupted) agent.set_silent(false);
@@ -91,8 +96,8 @@
         if (at > learned + kGrace) ++late;
         if (at > learned) last = at - learned;
       }
-      note("round " + std::to_string(round + 1) + ": the last request to " + uids[round] + " came " +
-           std::to_string(last) +
+      note("round " + std::to_string(round + 1) + ", outage of " + std::to_string(outage) +
+           " s: the last request to " + uids[round] + " came " + std::to_string(last) +
            " s after the agent had its drain; later than the grace: " + std::to_string(late));
       late_sends += late;
       if (late > 0) ++late_rounds;
