--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr int kRounds = 13;
-constexpr double kOutage = 3;    // s, at least
+constexpr int kRounds = 18;
+constexpr double kOutage = 2;    // s, at least
 constexpr double kLonger = 1.3;  // s, how much longer an outage is at most
 constexpr double kGrace = 0.95;  // s: stopSendingWithin, and 50 ms more on sockets
 constexpr double kAnswer = 0.2;  // s that an answer takes
@@ -75,7 +75,7 @@
     int late_sends = 0, late_rounds = 0;
     std::mt19937 random(std::random_device{}());
     for (int round = 0; round < kRounds; ++round) {
-      sleep_s(1.2);
+      sleep_s(0.8);
       if (setting.disrupted) agent.set_silent(true);
       // The length of the outage has nothing to do with the router's calls.
       const double outage = std::uniform_real_distribution<double>(kOutage, kOutage + kLonger)(random);
@@ -88,7 +88,7 @@
            " s to finish what it had, and ends");
       workers[round]->stop();
       agent.set(target(round, "DELETED"));
-      sleep_s(1);
+      sleep_s(0.5);
       const std::lock_guard lock(mutex);
       int late = 0;
       double last = 0;
