Answers: a request that may have run is not rejected because a limit denies its retry

Cause: the routing policy asks before it rejects whether an attempt may have run. The admission controller around it rejects whatever ran, the pools pass that on, and the request manager made every action with an exceeded limit a rejection. One rule, kept by one decider only.

Change: AttemptHistory (thornwick/repeat_rule.hpp) holds what the rule needs of each attempt; the request manager keeps one for each request over all deciders, and core::permitted_answer, through which every final answer passes, turns a rejection that is not permitted into a failure. Policy and pools ask the same class in place of rules of their own. The limit counts and logs the denial as before, the earlier attempt stays charged. New counter failed_not_rejected.

--- a/src/budgets/admission_controller.hpp
+++ b/src/budgets/admission_controller.hpp
@@ -1,7 +1,9 @@
 // Admission control by budgets, placed between the core and the decider that chooses replicas. A request that
 // no budget covers is rejected before the inner decider sees it, a retry that no budget covers is not sent,
 // and each attempt that ran is charged once (pricing.hpp has the rules). The inner decider chooses replicas
-// and decides on retries and all other rejections.
+// and decides on retries and all other rejections. Where an earlier attempt may have run, the core decides
+// whether the client of a retry that was not sent gets the rejection or a failure (core/final_answer.hpp);
+// the limit counts the denial in both cases.
 #pragma once
 
 #include <memory>
--- a/src/core/active_request.hpp
+++ b/src/core/active_request.hpp
@@ -56,10 +56,10 @@
   TimerQueue::Handle attempt_timer;
 
   std::uint8_t next_attempt_number = 0;  // attempts that were not launched are numbered too
-  bool may_have_run = false;             // whether a replica may have processed any attempt
-  // The time point from which nothing more may be sent for the request, because of its attempts that may have
-  // run.
-  Time repeat_limit = kNoRepeatLimit;
+  AttemptHistory attempts;               // those that were launched
+  // The time point from which the current attempt must not be sent any more, because of earlier attempts that
+  // may have run.
+  Time send_limit = kNoRepeatLimit;
 
   double answer_characters = 0;       // length of the answer's text so far
   bool has_usage = false;             // whether summary.usage is what the replica reported
--- a/src/core/decider.hpp
+++ b/src/core/decider.hpp
@@ -17,7 +17,10 @@
 inline constexpr Time kNotSent = -1;
 
 // Receives events and returns the actions that it decides on. Not thread-safe. A decider does no I/O and
-// never calls back from an event: its actions wait for take_actions().
+// never calls back from an event: its actions wait for take_actions(). The core carries out a send or a
+// rejection only if the attempts of the request permit it (thornwick/repeat_rule.hpp): a send that they do
+// not permit gets the outcome `not_sent`, and such a rejection becomes a failure. So a decider may reject a
+// request of whose attempts it does not know.
 class Decider {
  public:
   virtual ~Decider() = default;
--- a/src/core/request_manager.cpp
+++ b/src/core/request_manager.cpp
@@ -43,6 +43,16 @@
   return found == requests_.end() ? nullptr : &found->second;
 }
 
+// A request of an unknown class must not run twice, as nothing is known of its effect.
+const ClassSettings& RequestManager::class_of(std::uint8_t priority_class) const {
+  static constexpr ClassSettings kUnknownClass{.effect = Effect::unsafe};
+  return priority_class < classes_.size() ? classes_[priority_class] : kUnknownClass;
+}
+
+const ClassSettings& RequestManager::class_of(const ActiveRequest& request) const {
+  return class_of(request.incoming_request.request.priority_class);
+}
+
 // Returns null if the attempt is not in flight any more, because its late events are ignored.
 ActiveRequest* RequestManager::find_current(AttemptId attempt) {
   ActiveRequest* request = find_request(attempt.request_id);
@@ -93,7 +103,7 @@
 
 bool RequestManager::repeat_is_allowed(AttemptId attempt) {
   const ActiveRequest* request = find_current(attempt);
-  return request != nullptr && now() < request->repeat_limit;
+  return request != nullptr && now() < request->send_limit;
 }
 
 void RequestManager::client_congested(RequestId request_id) {
@@ -172,7 +182,7 @@
   const Time ended = now();
   const Usage& usage = request.summary.usage;
   ++counters_.outcomes[outcome];
-  if (!never_ran(outcome)) note_possible_run(request);
+  request.attempts.record_outcome(request.attempts.size() - 1, outcome);
   decider_->on_attempt_result(ended, {.id = request.attempt.request_id,
                                       .attempt = request.attempt.number,
                                       .replica = request.replica,
@@ -187,15 +197,6 @@
                                       .report = load});
 }
 
-// Attempts follow one another, so the first one that may have run sets the earliest limit.
-void RequestManager::note_possible_run(ActiveRequest& request) const {
-  request.may_have_run = true;
-  const std::size_t priority_class = request.incoming_request.request.priority_class;
-  if (priority_class >= classes_.size()) return;
-  const Time limit = repeat_limit(classes_[priority_class], request.attempt_sent_at);
-  request.repeat_limit = std::min(request.repeat_limit, limit);
-}
-
 // The connection is closed before the routing policy learns of it, so that no two attempts of a request are
 // in flight at once. A request that was not written completely has not run, for instance because its
 // connection was not established in time. It is reported as not sent, so that a request that must not run
@@ -254,7 +255,7 @@
   if (request->attempt_in_flight()) abandon_attempt(*request, Outcome::timed_out, RequestProgress::concluded);
   // A request that never ran is rejected rather than failed, so that its client may repeat it.
   const CompletionStatus status =
-      request->may_have_run ? CompletionStatus::timed_out : CompletionStatus::rejected;
+      request->attempts.may_have_run() ? CompletionStatus::timed_out : CompletionStatus::rejected;
   conclude(id, {.status = status, .retry_after = retry_after_});
 }
 
@@ -302,9 +303,9 @@
 
 bool RequestManager::may_launch(const ActiveRequest& request, AttemptId attempt, const Action& action,
                                 Time sent) const {
-  return !request.attempt_in_flight() && attempt.number < max_attempts_ &&
-         sent < request.incoming_request.request.deadline && sent < request.repeat_limit &&
-         action.time != kNotSent;
+  const Request& description = request.incoming_request.request;
+  return !request.attempt_in_flight() && attempt.number < max_attempts_ && sent < description.deadline &&
+         action.time != kNotSent && sent < request.attempts.repeat_limit(class_of(request));
 }
 
 void RequestManager::launch(ActiveRequest& request, AttemptId attempt, const Action& action, Time sent) {
@@ -316,6 +317,8 @@
   request.model = action.model;
   request.allowance = action.allowance;
   request.attempt_sent_at = sent;
+  request.send_limit = request.attempts.repeat_limit(class_of(request));
+  request.attempts.add({.id = action.replica, .listed = false}, sent);
   request.summary.last_replica = action.replica;
   request.summary.model = action.model;
   ++request.summary.attempts;
@@ -334,20 +337,19 @@
                                      .outcome = Outcome::not_sent});
 }
 
-// Carries out an action in which the policy ends a request without an answer.
+// Carries out an action in which a decider ends a request without an answer.
 void RequestManager::apply_refusal(const Action& action) {
   ActiveRequest* request = find_request(action.id);
   if (request == nullptr || request->answer_started()) return;
   if (request->attempt_in_flight()) abandon_attempt(*request, Outcome::cancelled, RequestProgress::concluded);
-  FinalAnswer answer{.status = CompletionStatus::rejected, .retry_after = action.time};
-  if (is_rejection(action.allowance)) {
-    answer.rejection = action.allowance;
-  } else if (action.kind == ActionKind::fail) {
-    answer.status = now() >= request->incoming_request.request.deadline ? CompletionStatus::timed_out
-                                                                        : CompletionStatus::failed;
-  }
   request->summary.refusal = action.refusal;
-  conclude(action.id, answer);
+  if (action.kind == ActionKind::fail) {
+    const CompletionStatus failure = failure_at(now(), request->incoming_request.request);
+    return conclude(action.id, {.status = failure, .retry_after = action.time});
+  }
+  conclude(action.id, {.status = CompletionStatus::rejected,
+                       .retry_after = action.time,
+                       .rejection = is_rejection(action.allowance) ? action.allowance : nullptr});
 }
 
 void RequestManager::apply_cancel(const Action& action) {
@@ -356,43 +358,27 @@
   abandon_attempt(*request, Outcome::cancelled, RequestProgress::continues);
 }
 
-void RequestManager::conclude(RequestId id, const FinalAnswer& answer) {
+// Every request ends here.
+void RequestManager::conclude(RequestId id, const FinalAnswer& wanted) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
   ActiveRequest request = std::move(found->second);
+  const FinalAnswer answer = permit(wanted, request);
   timers_.cancel(request.deadline_timer);
   timers_.cancel(request.attempt_timer);
   requests_.erase(found);  // first: the reply may bring the client's next request
-  count_completion(answer.status);
+  counters_.count(answer.status);
   request.summary.status = answer.status;
-  request.summary.may_have_run = request.may_have_run;
+  request.summary.may_have_run = request.attempts.may_have_run();
   request.summary.ended_at = now();
   if (dependencies_.on_request_end) dependencies_.on_request_end(request.summary);
   deliver(*request.reply, answer);
 }
 
-void RequestManager::count_completion(CompletionStatus status) {
-  switch (status) {
-    case CompletionStatus::served: ++counters_.served; break;
-    case CompletionStatus::rejected: ++counters_.rejected; break;
-    case CompletionStatus::failed: ++counters_.failed; break;
-    case CompletionStatus::timed_out: ++counters_.timed_out; break;
-    case CompletionStatus::interrupted: ++counters_.interrupted; break;
-    case CompletionStatus::client_disconnected: ++counters_.client_disconnected; break;
-  }
-}
-
-void RequestManager::deliver(Reply& reply, const FinalAnswer& answer) {
-  switch (answer.status) {
-    case CompletionStatus::served: return reply.finish();
-    case CompletionStatus::interrupted: return reply.abort_answer();
-    case CompletionStatus::failed: return reply.fail(FailureReason::upstream, answer.retry_after);
-    case CompletionStatus::timed_out: return reply.fail(FailureReason::timed_out, answer.retry_after);
-    case CompletionStatus::rejected:
-      if (answer.rejection != nullptr) return reply.reject_over_limit(*answer.rejection, answer.retry_after);
-      return reply.reject(answer.retry_after);
-    case CompletionStatus::client_disconnected: return;
-  }
+FinalAnswer RequestManager::permit(const FinalAnswer& wanted, const ActiveRequest& request) {
+  FinalAnswer answer = permitted_answer(wanted, request, class_of(request), now());
+  if (answer.status != wanted.status) ++counters_.rejections_not_permitted;
+  return answer;
 }
 
 }  // namespace thornwick::core
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -5,37 +5,27 @@
 // Guarantees: each admitted request gets exactly one final answer, at the latest kDeadlineSlack after its
 // deadline unless its answer has begun, and none after its client has disconnected; at most one attempt of a
 // request is in flight at any time; after an attempt that may have run, no other is sent from the request's
-// repeat limit on (thornwick/repeat_rule.hpp), whichever decider asks for it; no timer outlives its request.
+// repeat limit on, and the request is not rejected unless
+// its class permits it (thornwick/repeat_rule.hpp), whichever decider asks for it; no timer outlives its
+// request.
 #pragma once
 
 #include <functional>
-#include <map>
 #include <unordered_map>
 #include <vector>
 
 #include "affinity/affinity_table.hpp"
 #include "core/active_request.hpp"
+#include "core/counters.hpp"
 #include "core/decider.hpp"
 #include "core/events.hpp"
+#include "core/final_answer.hpp"
 #include "core/interfaces.hpp"
 #include "core/timer_queue.hpp"
 #include "thornwick/routing_policy.hpp"
 
 namespace thornwick::core {
 
-// Counts since the start of the process: requests by how they ended, and attempts.
-struct Counters {
-  std::uint64_t admitted = 0;  // requests
-  std::uint64_t attempts = 0;  // launched
-  std::uint64_t served = 0;
-  std::uint64_t rejected = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t timed_out = 0;
-  std::uint64_t interrupted = 0;
-  std::uint64_t client_disconnected = 0;      // the client disconnected before its final answer
-  std::map<Outcome, std::uint64_t> outcomes;  // outcomes of attempts, including those that were not launched
-};
-
 // The objects that the core uses. It does not own them, and all of them have to outlive it.
 struct Dependencies {
   Clock& clock;
@@ -106,23 +96,16 @@
   // Whether a request continues after the end of an attempt.
   enum class RequestProgress { continues, concluded };
 
-  // How a request ends, and the content of its final answer.
-  struct FinalAnswer {
-    CompletionStatus status = CompletionStatus::served;
-    Time retry_after = 0;  // rejected, failed and timed_out
-    // Rejected: the limit that the request exceeds; null if it was rejected for another reason.
-    std::shared_ptr<const Allowance> rejection = {};
-  };
-
   Time now() const { return dependencies_.clock.now(); }
   ActiveRequest* find_request(RequestId id);
   ActiveRequest* find_current(AttemptId attempt);
+  const ClassSettings& class_of(std::uint8_t priority_class) const;
+  const ClassSettings& class_of(const ActiveRequest& request) const;
 
   void begin_answer(ActiveRequest& request);
   void learn_cache_use(const ActiveRequest& request);
   void report_result(ActiveRequest& request, Outcome outcome, RequestProgress progress,
                      std::span<const float> load);
-  void note_possible_run(ActiveRequest& request) const;
   void abandon_attempt(ActiveRequest& request, Outcome outcome, RequestProgress progress);
 
   void on_timer_expired(const TimerEntry& timer);
@@ -138,9 +121,8 @@
   void launch(ActiveRequest& request, AttemptId attempt, const Action& action, Time sent);
   void report_not_sent(AttemptId attempt, ReplicaId replica, Time when);
 
-  void conclude(RequestId id, const FinalAnswer& answer);
-  void count_completion(CompletionStatus status);
-  static void deliver(Reply& reply, const FinalAnswer& answer);
+  void conclude(RequestId id, const FinalAnswer& wanted);
+  FinalAnswer permit(const FinalAnswer& wanted, const ActiveRequest& request);
 
   Dependencies dependencies_;
   std::unique_ptr<Decider> decider_;
--- a/src/models/pools.hpp
+++ b/src/models/pools.hpp
@@ -22,6 +22,7 @@
 #include "models/placement.hpp"
 #include "models/pool.hpp"
 #include "models/slow_start_controller.hpp"
+#include "thornwick/repeat_rule.hpp"
 
 namespace thornwick::models {
 
@@ -74,14 +75,12 @@
   struct Attempt {
     Pool* pool = nullptr;
     std::uint8_t number = 0;  // of the attempt, as counted by the pool's decider
-    ReplicaId replica = 0;
-    Time sent_at = 0;
-    bool may_have_run = true;  // false once its outcome proves that no replica began to work
   };
   struct OpenRequest {
     Request request;
     Pool* pool = nullptr;  // that currently handles the request
     std::vector<Attempt> attempts;
+    AttemptHistory history;  // of the same attempts
     FallbackQueue fallbacks;
     bool attempt_in_flight = false;
     bool concluded = false;  // the request has its final answer, or its client disconnected
--- a/src/models/pools_requests.cpp
+++ b/src/models/pools_requests.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "models/pools.hpp"
-#include "thornwick/repeat_rule.hpp"
 
 namespace thornwick::models {
 namespace {
@@ -113,11 +112,7 @@
 bool Pools::may_run_at_another_model(const OpenRequest& open) const {
   const std::vector<ClassSettings>& classes = options_.settings.classes;
   if (open.request.priority_class >= classes.size()) return true;
-  const ClassSettings& request_class = classes[open.request.priority_class];
-  return std::all_of(open.attempts.begin(), open.attempts.end(), [&](const Attempt& earlier) {
-    if (!earlier.may_have_run) return true;
-    return may_repeat_at_any_replica(request_class) && now_ < repeat_limit(request_class, earlier.sent_at);
-  });
+  return open.history.may_send_anywhere(classes[open.request.priority_class], now_);
 }
 
 // Rejects a request without asking a decider.
@@ -178,7 +173,8 @@
   const auto number =
       static_cast<std::uint8_t>(std::count_if(open->attempts.begin(), open->attempts.end(),
                                               [&](const Attempt& other) { return other.pool == &pool; }));
-  open->attempts.push_back({.pool = &pool, .number = number, .replica = action.replica, .sent_at = now_});
+  open->attempts.push_back({.pool = &pool, .number = number});
+  open->history.add({.id = action.replica, .listed = false}, now_);
   open->attempt_in_flight = true;
   action.model = pool.model();
   notify_pools_of(action.replica, &pool,
@@ -250,9 +246,8 @@
   now_ = now;
   OpenRequest* open = open_.find(result.id);
   if (open == nullptr || result.attempt >= open->attempts.size()) return;
-  Attempt& ended = open->attempts[result.attempt];
-  ended.may_have_run = !never_ran(result.outcome);
-  const Attempt sent = ended;
+  open->history.record_outcome(result.attempt, result.outcome);
+  const Attempt sent = open->attempts[result.attempt];
   if (result.attempt + 1u == open->attempts.size()) open->attempt_in_flight = false;
   if (result.outcome == Outcome::full) sent.pool->slow_start().on_rejection(now);
   if (result.concluded || (open->concluded && !open->attempt_in_flight)) open_.erase(result.id);
--- a/src/node/counters_report.cpp
+++ b/src/node/counters_report.cpp
@@ -31,7 +31,8 @@
   out << "taken=" << counters.admitted << " open=" << core.open_requests()
       << " attempts=" << counters.attempts << " served=" << counters.served << " shed=" << counters.rejected
       << " failed=" << counters.failed << " timed_out=" << counters.timed_out
-      << " broken=" << counters.interrupted << " gone=" << counters.client_disconnected;
+      << " broken=" << counters.interrupted << " gone=" << counters.client_disconnected
+      << " failed_not_rejected=" << counters.rejections_not_permitted;
   for (const auto& [outcome, count] : counters.outcomes)
     out << " attempt_" << outcome_names[static_cast<int>(outcome)] << "=" << count;
 }
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -117,7 +117,7 @@
 }
 
 bool Placement::is_retry_candidate(Time now, const PendingRequest& pending, const Replica& replica) const {
-  if (pending.was_sent_to(replica.listing.id) || now < replica.ejected_until) return false;
+  if (pending.attempts.was_sent_to(replica.listing.id) || now < replica.ejected_until) return false;
   return health_.warm_up_progress(now, replica) >= 1;
 }
 
--- a/src/policy/policy_state.cpp
+++ b/src/policy/policy_state.cpp
@@ -55,7 +55,7 @@
 void PolicyState::erase_removed_replicas() {
   std::set<ReplicaId> in_use;
   for (const auto& [id, request] : pending) {
-    for (const Attempt& attempt : request.attempts) in_use.insert(attempt.replica);
+    for (const SentAttempt& attempt : request.attempts) in_use.insert(attempt.replica.id);
   }
   std::erase_if(replicas, [&](const auto& entry) {
     const auto& [id, replica] = entry;
--- a/src/policy/records.hpp
+++ b/src/policy/records.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gossip/gossip.hpp"
+#include "thornwick/repeat_rule.hpp"
 #include "thornwick/routing_policy.hpp"
 
 namespace thornwick {
@@ -29,38 +30,15 @@
   }
 };
 
-// One attempt to have a replica answer a request.
-struct Attempt {
-  ReplicaId replica = 0;
-  Time sent_at = 0;
-  bool outstanding = true;
-  bool may_have_run = true;  // false once an outcome proves that no replica began to work
-};
-
 // A request in progress: from its arrival until the client has its final answer.
 struct PendingRequest {
   Request request;
   Time arrived_at = 0;
   Time useful_until = 0;  // the earlier one of latency objective and deadline, as a time point
   double work = 0;        // in the unit of Request::work_hint, or tokens if there is no hint
-  std::vector<Attempt> attempts;
+  AttemptHistory attempts;
   bool moved_to_adjacent = false;  // a replica rejected it as full, and an adjacent one was chosen
   bool started = false;            // the first token has reached the client
-
-  // Whether an attempt is still without an outcome.
-  bool has_outstanding_attempt() const {
-    return std::any_of(attempts.begin(), attempts.end(),
-                       [](const Attempt& attempt) { return attempt.outstanding; });
-  }
-  // Whether a replica may have begun to work on the request.
-  bool may_have_run() const {
-    return std::any_of(attempts.begin(), attempts.end(),
-                       [](const Attempt& attempt) { return attempt.may_have_run; });
-  }
-  bool was_sent_to(ReplicaId replica) const {
-    return std::any_of(attempts.begin(), attempts.end(),
-                       [replica](const Attempt& attempt) { return attempt.replica == replica; });
-  }
 };
 
 // Returns the target time to the first token, in microseconds, as the request's class defines it.
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -1,7 +1,5 @@
 #include "policy/request_lifecycle.hpp"
 
-#include "thornwick/repeat_rule.hpp"
-
 namespace thornwick {
 
 constexpr double kRetriesPerRequest = 0.1;  // second attempts that each request adds to the retry budget
@@ -35,7 +33,7 @@
 
 void RequestLifecycle::send(Time now, PendingRequest& pending, Replica& replica) {
   if (!may_send(now, pending, replica)) return end(pending, RefusalReason::attempt_not_allowed);
-  pending.attempts.push_back({replica.listing.id, now});
+  pending.attempts.add(location_of(replica.listing), now);
   ++replica.in_flight;
   state_.actions.send(pending.request.id, replica.listing.id);
   const Time delay = static_cast<Time>(kReviewFraction * static_cast<double>(pending.useful_until - now));
@@ -47,23 +45,8 @@
   if (replica.listing.state != EndpointState::ready || now >= pending.request.deadline) return false;
   const std::size_t attempts = pending.attempts.size() + pending.request.attempts_before;
   if (attempts >= state_.settings.max_attempts) return false;
-  return std::all_of(pending.attempts.begin(), pending.attempts.end(),
-                     [&](const Attempt& earlier) { return may_repeat(now, pending, earlier, replica); });
-}
-
-bool RequestLifecycle::may_repeat(Time now, const PendingRequest& pending, const Attempt& earlier,
-                                  const Replica& next) const {
-  const ClassSettings& request_class = state_.settings.classes[pending.request.priority_class];
-  if (earlier.outstanding && !state_.settings.hedging) return false;
-  if (!earlier.may_have_run || request_class.effect == Effect::safe) return true;
-  if (now >= repeat_limit(request_class, earlier.sent_at)) return false;
-  return share_deduplication(request_class.dedup_scope, state_.replicas.at(earlier.replica), next);
-}
-
-bool RequestLifecycle::share_deduplication(DedupScope scope, const Replica& earlier, const Replica& next) {
-  if (scope == DedupScope::all) return true;
-  if (earlier.listing.zone != next.listing.zone) return false;
-  return scope == DedupScope::zone || earlier.listing.cell == next.listing.cell;
+  if (pending.attempts.has_outstanding() && !state_.settings.hedging) return false;
+  return pending.attempts.may_send(class_of(pending), location_of(replica.listing), now);
 }
 
 void RequestLifecycle::on_first_token(Time now, RequestId id, ReplicaId replica) {
@@ -73,7 +56,7 @@
   pending->started = true;
   learn_from_answer_time(now, *pending);
   for (std::size_t i = 0; i < pending->attempts.size(); ++i) {
-    if (pending->attempts[i].replica != replica)
+    if (pending->attempts[i].replica.id != replica)
       cancel(*pending, i);  // the other attempt is no longer needed
   }
 }
@@ -81,7 +64,7 @@
 void RequestLifecycle::learn_from_answer_time(Time now, const PendingRequest& pending) {
   const AnswerTime time = overload_.on_answer(now - pending.arrived_at, objective_of(pending.request));
   if (pending.attempts.empty()) return;
-  Replica& replica = state_.replicas.at(pending.attempts.back().replica);
+  Replica& replica = state_.replicas.at(pending.attempts.back().replica.id);
   if (time == AnswerTime::slow) peers_.report(now, replica, Observation::slow);
   if (time == AnswerTime::late) peers_.report(now, replica, Observation::late);
   health_.on_answer(replica, time);
@@ -98,8 +81,7 @@
   if (pending != nullptr && result.attempt >= pending->attempts.size()) pending = nullptr;
   if (is_failure(result.outcome)) learn_from_failure(now, result, *replica, pending);
   if (pending == nullptr) return;
-  pending->attempts[result.attempt].outstanding = false;
-  pending->attempts[result.attempt].may_have_run = !never_ran(result.outcome);
+  pending->attempts.record_outcome(result.attempt, result.outcome);
   if (result.concluded) return void(state_.pending.erase(result.id));
   if (!pending->started) retry_or_end(now, *pending, result);
 }
@@ -115,7 +97,7 @@
 }
 
 void RequestLifecycle::retry_or_end(Time now, PendingRequest& pending, const AttemptResult& result) {
-  if (pending.has_outstanding_attempt()) return;
+  if (pending.attempts.has_outstanding()) return;
   if (now >= pending.useful_until) return end(pending, RefusalReason::too_late);
   if (result.outcome == Outcome::full) return move_to_adjacent(now, pending, result.replica);
   const bool quick = is_quick(result, objective_of(pending.request));
@@ -154,33 +136,30 @@
     review_unanswered_attempt(now, pending);
     return set_review(pending, pending.useful_until);
   }
-  const bool worthless = state_.settings.classes[pending.request.priority_class].late_weight_fraction <= 0;
-  if (worthless && may_reject(pending)) return end(pending, RefusalReason::too_late);
+  const ClassSettings& request_class = class_of(pending);
+  const bool worthless = request_class.late_weight_fraction <= 0;
+  if (worthless && pending.attempts.may_reject(request_class)) return end(pending, RefusalReason::too_late);
   set_review(pending, pending.request.deadline);
 }
 
 void RequestLifecycle::review_unanswered_attempt(Time now, PendingRequest& pending) {
-  const Attempt& attempt = pending.attempts.back();
-  Replica& replica = state_.replicas.at(attempt.replica);
+  const SentAttempt& attempt = pending.attempts.back();
+  Replica& replica = state_.replicas.at(attempt.replica.id);
   if (!attempt.outstanding || replica.last_answer_at >= attempt.sent_at || overload_.is_severe()) return;
   health_.on_failure(now, replica, FailureCost::slow);
   peers_.report(now, replica, Observation::slow);
   if (state_.settings.hedging && now < replica.ejected_until)
-    send_second_attempt(now, pending, attempt.replica);
+    send_second_attempt(now, pending, attempt.replica.id);
 }
 
 void RequestLifecycle::end(PendingRequest& pending, RefusalReason reason) {
-  const ActionKind kind = may_reject(pending) ? ActionKind::reject : ActionKind::fail;
+  const bool may_reject = pending.attempts.may_reject(class_of(pending));
+  const ActionKind kind = may_reject ? ActionKind::reject : ActionKind::fail;
   state_.actions.finish(kind, pending.request.id, overload_.draw_retry_after(), reason);
   for (std::size_t i = 0; i < pending.attempts.size(); ++i) cancel(pending, i);
   state_.pending.erase(pending.request.id);
 }
 
-bool RequestLifecycle::may_reject(const PendingRequest& pending) const {
-  const ClassSettings& request_class = state_.settings.classes[pending.request.priority_class];
-  return may_repeat_at_any_replica(request_class) || !pending.may_have_run();
-}
-
 void RequestLifecycle::cancel(const PendingRequest& pending, std::size_t attempt) {
   if (!state_.settings.may_cancel || !pending.attempts[attempt].outstanding) return;
   state_.actions.cancel(pending.request.id, attempt);
--- a/src/policy/request_lifecycle.hpp
+++ b/src/policy/request_lifecycle.hpp
@@ -51,6 +51,9 @@
   void on_timer(Time now, std::uint32_t token);
 
  private:
+  const ClassSettings& class_of(const PendingRequest& pending) const {
+    return state_.settings.classes[pending.request.priority_class];
+  }
   Time objective_of(const Request& request) const {
     return latency_objective_of(state_.settings.classes[request.priority_class], request);
   }
@@ -60,13 +63,8 @@
   // Sets the next review.
   void send(Time now, PendingRequest& pending, Replica& replica);
   // Whether the request may be sent to the replica: the replica is ready, the deadline has not passed, the
-  // limits on attempts and hedged requests hold, and no repeat can do harm.
+  // limits on attempts and hedged requests hold, and no repeat can do harm (thornwick/repeat_rule.hpp).
   bool may_send(Time now, const PendingRequest& pending, const Replica& replica) const;
-  // Whether an attempt at `next` may follow the earlier attempt: the earlier one has ended or hedging is
-  // allowed, and the earlier one cannot have had an effect that the next one would repeat.
-  bool may_repeat(Time now, const PendingRequest& pending, const Attempt& earlier, const Replica& next) const;
-  // Whether replica `next` discards the repeat of a keyed request that was sent to replica `earlier`.
-  static bool share_deduplication(DedupScope scope, const Replica& earlier, const Replica& next);
 
   // Whether a failed attempt took only a small fraction of the latency objective, so that it was little load
   // for the replica.
@@ -101,10 +99,9 @@
   // where hedging is allowed. Guards against replicas that accept requests and answer none.
   void review_unanswered_attempt(Time now, PendingRequest& pending);
 
-  // Rejects or fails the request and deletes its record: `pending` is dangling afterwards.
+  // Rejects the request if its attempts permit that, or fails it, and deletes its record: `pending` is
+  // dangling afterwards.
   void end(PendingRequest& pending, RefusalReason reason);
-  // Whether the request may be rejected. A rejection assures the client that a repeat does no harm.
-  bool may_reject(const PendingRequest& pending) const;
   // Cancels the attempt if it is outstanding and the deployment allows it.
   void cancel(const PendingRequest& pending, std::size_t attempt);
 
--- a/tests/models/world.hpp
+++ b/tests/models/world.hpp
@@ -13,7 +13,9 @@
 #include <string>
 #include <vector>
 
+#include "../support/effect_oracle.hpp"
 #include "core/request_manager.hpp"
+#include "core/slow_start_budget.hpp"
 #include "models/pools.hpp"
 
 namespace thornwick::testing {
@@ -23,7 +25,8 @@
 // How many of 1,000 attempts end in each way; the others are served.
 struct Faults {
   int full = 0, rejected = 0, error = 0, reset = 0, broken = 0, silent = 0;
-  int gone = 0;  // of 1,000 requests, those whose client disconnects
+  int gone = 0;       // of 1,000 requests, those whose client disconnects
+  int unwritten = 0;  // of 1,000 abandoned attempts, those whose request was not written completely
 };
 
 class Simulation : core::Clock, core::UpstreamTransport, core::Discovery, core::PeerTransport {
@@ -44,6 +47,10 @@
   Faults faults;
   Time answer_time = milliseconds(20);
   Time reset_after = 0;  // time from the launch of an attempt to its reset; 0: some milliseconds
+  // What further limits the requests; all off unless set before start(). The quota store is not owned.
+  budgets::QuotaStore* quota_store = nullptr;
+  std::optional<budgets::FairShareOptions> fair_share_options;
+  bool slow_start = false;
   std::vector<Replica> replicas;
 
   Replica& add_replica(const std::string& uid, const std::string& model, Time started = 0) {
@@ -59,7 +66,8 @@
   // loaded.
   void start(const std::map<std::string, budgets::LimitState>& stored = {}) {
     kill();
-    quota_service = std::make_unique<budgets::QuotaService>(budgets_, journal_);
+    quota_service = std::make_unique<budgets::QuotaService>(budgets_, journal_, quota_store);
+    if (fair_share_options) fair_share_ = std::make_unique<budgets::FairShare>(*fair_share_options);
     for (const auto& m : catalogue_.models) quota_service->prices.push_back(m.price);
     quota_service->on_charge = [this](const budgets::Charge& c) {
       charged += c.units;
@@ -73,13 +81,19 @@
     options.identity_of = [this](ReplicaId id) { return replicas.at(id - 1).names; };
     options.make_decider = [this](const Settings& s, Time now,
                                   models::ModelId) -> std::unique_ptr<core::Decider> {
-      return std::make_unique<budgets::AdmissionController>(core::make_routing_policy(s, now),
-                                                            *quota_service);
+      return std::make_unique<budgets::AdmissionController>(core::make_routing_policy(s, now), *quota_service,
+                                                            fair_share_.get());
     };
-    auto decider = std::make_unique<models::Pools>(options, now_);
-    pools = decider.get();
-    core_ = std::make_unique<core::RequestManager>(settings_, core::Dependencies{*this, *this, *this, *this},
-                                                   std::move(decider));
+    auto all_pools = std::make_unique<models::Pools>(options, now_);
+    pools = all_pools.get();
+    std::unique_ptr<core::Decider> decider = std::move(all_pools);
+    if (slow_start)
+      decider = std::make_unique<core::SlowStartBudget>(std::move(decider), settings_, now_ - seconds(60));
+    core::Dependencies dependencies{*this, *this, *this, *this};
+    dependencies.on_request_end = [this](const core::RequestSummary& summary) {
+      summaries.push_back(summary);
+    };
+    core_ = std::make_unique<core::RequestManager>(settings_, dependencies, std::move(decider));
     list();
   }
 
@@ -109,6 +123,7 @@
 
   struct Answer {
     bool over = false, served = false, overload_rejected = false, failed = false, broken = false;
+    bool may_have_run = false;  // when the request was rejected or failed
     std::optional<Allowance> rejected;
     Time retry_after = 0;
     std::uint16_t model = 0;
@@ -121,11 +136,12 @@
     const std::size_t answer_index = answers.size();
     answers.emplace_back();
     request.deadline = now_ + 5'000'000;
-    auto reply = std::make_unique<Reply>(*this, answer_index);
+    // The core numbers the requests of each start from 1, and may launch an attempt before admit() returns.
+    const RequestKey key{incarnation_, ++last_request_[incarnation_]};
+    oracles_.emplace(key, EffectOracle(settings_.classes.at(request.priority_class)));
+    auto reply = std::make_unique<Reply>(*this, answer_index, key);
     Reply& its = *reply;
     replies_.push_back(std::move(reply));
-    // The core numbers the requests of each start from 1, and may launch an attempt before admit() returns.
-    class_of_[{incarnation_, ++last_request_[incarnation_]}] = request.priority_class;
     const RequestId id = core_->admit({request, nullptr}, its);
     answer_index_of_[{incarnation_, id}] = answer_index;
     if (draw(1000) < faults.gone && !answers[answer_index].over) {
@@ -149,6 +165,7 @@
     now_ = end;
   }
   Time clock() const { return now_; }
+  const core::Counters& counters() const { return core_->counters(); }
   std::size_t open() const { return core_->open_requests(); }
   int draw(int below) { return boost::random::uniform_int_distribution<int>(0, below - 1)(random_); }
   Units counted_units() const {
@@ -158,6 +175,7 @@
   }
 
   std::vector<Answer> answers;
+  std::vector<core::RequestSummary> summaries;  // of the requests that have ended, in that order
   std::unique_ptr<budgets::QuotaService> quota_service;
   models::Pools* pools = nullptr;
   Units charged = 0, units_in_flight_at_kill = 0;
@@ -165,13 +183,18 @@
   std::map<std::tuple<int, RequestId, int>, int> charges;
   std::uint64_t watch_calls = 0;  // calls to watch discovery
   std::uint64_t concurrent_attempts = 0, after_first = 0,
-                excess_attempts = 0;  // violations of the guarantees
-  std::uint64_t repeats = 0;          // attempts at requests of which an earlier attempt may have run
-  std::uint64_t harmful_repeats = 0;  // those that no replica discards, by the rule of is_harmful()
+                excess_attempts = 0;       // violations of the guarantees
+  std::uint64_t repeats = 0;               // attempts at requests of which an earlier attempt may have run
+  std::uint64_t harmful_repeats = 0;       // those that rule 2 forbids
+  std::uint64_t rejections_after_run = 0;  // requests that were rejected although an attempt may have run
+  std::uint64_t harmful_rejections = 0;    // those that rule 2 forbids
 
  private:
+  using RequestKey = std::pair<int, RequestId>;  // the router's start, and the core's number
+
   struct Reply final : core::Reply {
-    Reply(Simulation& its, std::size_t at) : simulation(its), answer_index(at) {}
+    Reply(Simulation& its, std::size_t at, RequestKey its_key)
+        : simulation(its), answer_index(at), key(its_key) {}
     Answer& answer() { return simulation.answers[answer_index]; }
     void begin_answer(std::uint16_t model, const Allowance*) override { answer().model = model; }
     void send_event(const core::StreamEvent&) override { ++answer().events; }
@@ -179,13 +202,19 @@
     void abort_answer() override { answer().over = answer().broken = true; }
     void reject(Time retry_after) override {
       answer().over = answer().overload_rejected = true, answer().retry_after = retry_after;
+      simulation.check_rejection(*this);
+    }
+    void fail(core::FailureReason, Time) override {
+      answer().over = answer().failed = true;
+      answer().may_have_run = simulation.oracles_.at(key).may_have_executed();
     }
-    void fail(core::FailureReason, Time) override { answer().over = answer().failed = true; }
     void reject_over_limit(const Allowance& reason, Time retry_after) override {
       answer().over = true, answer().rejected = reason, answer().retry_after = retry_after;
+      simulation.check_rejection(*this);
     }
     Simulation& simulation;
     std::size_t answer_index;
+    RequestKey key;
   };
   struct Attempt {
     ReplicaId replica = 0;
@@ -195,34 +224,17 @@
     std::uint64_t answer_characters = 0;
   };
 
-  // An attempt that may have run.
-  struct PossibleRun {
-    core::AttemptId id;
-    Endpoint replica;
-    Time launched_at = 0;
-  };
-
-  // Rule 2 of the protocol: after an attempt that may have run, a request of an unsafe class must not be sent
-  // again, and one of a keyed class only within the window of that attempt and among replicas of its group.
-  bool is_harmful(const ClassSettings& of, const PossibleRun& earlier, const Endpoint& next) const {
-    if (of.effect != Effect::keyed) return of.effect == Effect::unsafe;
-    if (now_ >= earlier.launched_at + of.dedup_window) return true;
-    if (of.dedup_scope == DedupScope::all) return false;
-    if (earlier.replica.zone != next.zone) return true;
-    return of.dedup_scope == DedupScope::cell && earlier.replica.cell != next.cell;
-  }
+  EffectOracle& oracle_of(core::AttemptId id) { return oracles_.at({incarnation_, id.request_id}); }
   void check_repeat(core::AttemptId id, const Endpoint& next) {
-    auto& earlier = possible_runs_[{incarnation_, id.request_id}];
-    const ClassSettings& of = settings_.classes.at(class_of_.at({incarnation_, id.request_id}));
-    repeats += earlier.empty() ? 0 : 1;
-    const bool harmful = std::any_of(earlier.begin(), earlier.end(),
-                                     [&](const PossibleRun& run) { return is_harmful(of, run, next); });
-    harmful_repeats += harmful ? 1 : 0;
-    earlier.push_back({id, next, now_});
+    EffectOracle& oracle = oracle_of(id);
+    repeats += oracle.may_have_executed() ? 1 : 0;
+    harmful_repeats += oracle.on_send(id.number, next, now_) ? 0 : 1;
   }
-  void note_never_ran(core::AttemptId id) {
-    std::erase_if(possible_runs_[{incarnation_, id.request_id}],
-                  [&](const PossibleRun& run) { return run.id == id; });
+  void check_rejection(Reply& reply) {
+    const EffectOracle& oracle = oracles_.at(reply.key);
+    reply.answer().may_have_run = oracle.may_have_executed();
+    rejections_after_run += oracle.may_have_executed() ? 1 : 0;
+    harmful_rejections += oracle.permits_rejection() ? 0 : 1;
   }
 
   void at(Time when, std::function<void()> step) { events_.emplace(when, std::move(step)); }
@@ -264,6 +276,7 @@
     const auto ends = [this](core::AttemptId its, Outcome outcome) {
       if (!attempts_in_flight_.contains(its)) return;
       attempts_in_flight_.erase(its);
+      oracle_of(its).on_outcome(its.number, outcome);
       core_->attempt_ended(its, outcome);
     };
     int sum = 0;
@@ -275,10 +288,7 @@
     count(id, budgets::cost_of(static_cast<std::uint64_t>(prompt), 0, 0, price_of(model)));
     const auto never_runs = [=, this](Outcome outcome) {
       at(soon, [=, this] {
-        if (attempts_in_flight_.contains(id)) {
-          count(id, 0);
-          note_never_ran(id);
-        }
+        if (attempts_in_flight_.contains(id)) count(id, 0);
         ends(id, outcome);
       });
     };
@@ -322,7 +332,15 @@
       ends(id, Outcome::served);
     });
   }
-  bool abandon(core::AttemptId id) override { return attempts_in_flight_.erase(id) > 0; }
+  bool abandon(core::AttemptId id) override {
+    const auto found = attempts_in_flight_.find(id);
+    if (found == attempts_in_flight_.end()) return false;
+    const bool written = faults.unwritten == 0 || draw(1000) >= faults.unwritten;
+    if (!written) count(id, 0);
+    attempts_in_flight_.erase(found);
+    oracle_of(id).on_outcome(id.number, written ? Outcome::cancelled : Outcome::not_sent);
+    return written;
+  }
 
  public:
   std::function<double(core::AttemptId)> prompt_of_;  // prompt tokens of an attempt's request
@@ -338,9 +356,9 @@
   std::map<core::AttemptId, Attempt> attempts_in_flight_;
   std::vector<std::unique_ptr<Reply>> replies_;
   std::map<std::pair<int, RequestId>, std::size_t> answer_index_of_;
-  std::map<std::pair<int, RequestId>, std::vector<PossibleRun>> possible_runs_;
-  std::map<std::pair<int, RequestId>, std::uint8_t> class_of_;
+  std::map<RequestKey, EffectOracle> oracles_;
   std::map<int, RequestId> last_request_;
+  std::unique_ptr<budgets::FairShare> fair_share_;
   std::unique_ptr<core::RequestManager> core_;
   Time now_ = seconds(1'800'000'000);
   int incarnation_ = 0;
--- a/tests/net/models.cpp
+++ b/tests/net/models.cpp
@@ -197,6 +197,27 @@
   )");
 }
 
+// Guards against a request that runs twice: its work was done, a budget denied its second attempt, and its
+// client was answered with 429, after which it would send the request again (review/6).
+TEST_CASE("a request that may have run gets a failure in both fronts if a budget denies its second attempt") {
+  struct Front {
+    std::string actor, request, failure, rejection;
+  };
+  const Front front = GENERATE(Front{"client1", "$ask(r1)", "HTTP/1.1 502", "HTTP/1.1 429"},
+                               Front{"writer1", "$say(r1)", "HTTP/1.1 500", "HTTP/1.1 429"});
+  const std::string scope = GENERATE("zone", "cell", "all");
+  const bool rejected = scope == "all";
+  const std::string ending = GENERATE("reset", "send $error");
+  ScenarioRunner runner(
+      {.replicas = 2,
+       .settings = "grades.0.effect=keyed\ngrades.0.dedupScope=" + scope + "\ngrades.0.window=5000000\n",
+       .operator_text = budget(120)});
+  runner.run(front.actor + " send " + front.request + "\nattempt1 expect X-Request-ID: r1\nattempt1 " +
+             ending + "\n" + front.actor + " expect " + (rejected ? front.rejection : front.failure) +
+             "\nrouter expect budget_denied=1\nrouter expect failed_not_rejected=" + (rejected ? "0" : "1") +
+             "\nrouter expect shed=" + (rejected ? "1" : "0") + "\nrouter expect attempts=1");
+}
+
 TEST_CASE("a configuration that is reloaded in mid-stream loses no event, no budget and no model number") {
   ScenarioRunner runner(two_models(budget(1000)));
   runner.send("client1", request_text("r1", "large-2"));
