Sends: the core holds every send to the group that discards its repeat

Cause: the core held the window of a keyed class over all deciders, and left its scope (zone, cell) to the routing policy, which knows the attempts of its own pool only and looked up the groups as listed now, not as they were when the attempt was sent. No case of callers is known: pools fall back only where every replica discards the repeat.

Change: the core keeps the zone and cell of the listed replicas (ReplicaLocations) and asks AttemptHistory::may_send before each launch. A replica that is not listed shares its group with itself only.

Tests, with the check of the scope missing: core:the core sends a keyed request again only within the group of its first replica failed (3 of 7 combinations), core:whatever a decider decides, ... failed too; both pass. The property lets a decider that knows no rule send, reject, fail and cancel at random.

--- a/src/core/request_manager.cpp
+++ b/src/core/request_manager.cpp
@@ -213,6 +213,7 @@
 }
 
 void RequestManager::on_endpoints(EndpointUpdate scope, std::span<const Endpoint> entries) {
+  locations_.on_endpoints(scope, entries);
   if (dependencies_.affinity_table != nullptr) dependencies_.affinity_table->on_endpoints(scope, entries);
   decider_->on_endpoints(now(), scope, entries);
   apply_actions();
@@ -305,7 +306,8 @@
                                 Time sent) const {
   const Request& description = request.incoming_request.request;
   return !request.attempt_in_flight() && attempt.number < max_attempts_ && sent < description.deadline &&
-         action.time != kNotSent && sent < request.attempts.repeat_limit(class_of(request));
+         action.time != kNotSent &&
+         request.attempts.may_send(class_of(request), locations_.find(action.replica), sent);
 }
 
 void RequestManager::launch(ActiveRequest& request, AttemptId attempt, const Action& action, Time sent) {
@@ -318,7 +320,7 @@
   request.allowance = action.allowance;
   request.attempt_sent_at = sent;
   request.send_limit = request.attempts.repeat_limit(class_of(request));
-  request.attempts.add({.id = action.replica, .listed = false}, sent);
+  request.attempts.add(locations_.find(action.replica), sent);
   request.summary.last_replica = action.replica;
   request.summary.model = action.model;
   ++request.summary.attempts;
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -5,7 +5,7 @@
 // Guarantees: each admitted request gets exactly one final answer, at the latest kDeadlineSlack after its
 // deadline unless its answer has begun, and none after its client has disconnected; at most one attempt of a
 // request is in flight at any time; after an attempt that may have run, no other is sent from the request's
-// repeat limit on, and the request is not rejected unless
+// repeat limit on, or to a replica that does not discard the repeat, and the request is not rejected unless
 // its class permits it (thornwick/repeat_rule.hpp), whichever decider asks for it; no timer outlives its
 // request.
 #pragma once
@@ -21,6 +21,7 @@
 #include "core/events.hpp"
 #include "core/final_answer.hpp"
 #include "core/interfaces.hpp"
+#include "core/replica_locations.hpp"
 #include "core/timer_queue.hpp"
 #include "thornwick/routing_policy.hpp"
 
@@ -127,6 +128,7 @@
   Dependencies dependencies_;
   std::unique_ptr<Decider> decider_;
   std::vector<ClassSettings> classes_;
+  ReplicaLocations locations_;
   std::uint32_t max_attempts_;
   Time retry_after_;  // the wait that rejections and failures of the core itself advise
   std::unordered_map<RequestId, ActiveRequest> requests_;
