Hand-over: a request whose id nobody decides about is not refused as harmless

What callers saw: while a process is replaced, the old one asks the new one for the id of each request that it still reads. Without an answer within 0.3 s it refused the request with 503, whatever its class, although the new process may have the id in work: a client that believes it sends the request again, and it runs twice.

Change: the connection asks the request manager whether the class permits a rejection after attempts that this process does not know. If not, the answer is a failure (502; messages: 500), counted like an id in use (bad). Safe classes, and keyed ones with the scope all, get 503 as before.

--- a/src/core/request_manager.cpp
+++ b/src/core/request_manager.cpp
@@ -53,6 +53,10 @@
   return class_of(request.incoming_request.request.priority_class);
 }
 
+bool RequestManager::may_reject_after_unknown_attempts(std::uint8_t priority_class) const {
+  return may_repeat_at_any_replica(class_of(priority_class));
+}
+
 // Returns null if the attempt is not in flight any more, because its late events are ignored.
 ActiveRequest* RequestManager::find_current(AttemptId attempt) {
   ActiveRequest* request = find_request(attempt.request_id);
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -76,6 +76,10 @@
   // has not passed. The transport checks it before it writes the first byte, as above.
   [[nodiscard]] bool repeat_is_allowed(AttemptId attempt);
 
+  // Returns whether a request that was not admitted may be rejected, although attempts of it may have run
+  // that this process knows nothing of. An unknown class counts as unsafe.
+  [[nodiscard]] bool may_reject_after_unknown_attempts(std::uint8_t priority_class) const;
+
   // Events from discovery, the peers and the clock.
 
   void on_endpoints(EndpointUpdate scope, std::span<const Endpoint> entries);
--- a/src/net/downstream_connection.cpp
+++ b/src/net/downstream_connection.cpp
@@ -184,6 +184,13 @@
   reject(owner_.options_.overload_retry_after);
 }
 
+// Answers a request that another process may have run, and closes its connection.
+void DownstreamServer::Connection::fail_undecided() {
+  ++owner_.counters_.invalid_requests;
+  keep_open_ = false;
+  fail(core::FailureReason::upstream, 0);
+}
+
 // Answers a request that cannot be read or used, and closes its connection.
 void DownstreamServer::Connection::reject_bad_request(const BadMessage& bad) {
   ++owner_.counters_.invalid_requests;
--- a/src/net/downstream_connection.hpp
+++ b/src/net/downstream_connection.hpp
@@ -92,6 +92,7 @@
   bool writing_stalled();
   void count_overload_rejection();
   void reject_behind_others();
+  void fail_undecided();
   void reject_bad_request(const http::BadMessage& bad);
   void answer(const fronts::ErrorAnswer& text, Time retry_after);
   void on_answered();
--- a/src/net/downstream_reading.cpp
+++ b/src/net/downstream_reading.cpp
@@ -228,12 +228,15 @@
   if (claim == lifecycle::IdClaim::granted) admit();
 }
 
-// A request whose id nobody decided about has not run, so its client may repeat it.
+// This process has not run a request whose id nobody decided about, but the other process may have: so the
+// request is rejected only where that permits it.
 void DownstreamServer::Connection::on_id_decided(lifecycle::IdClaim claim) {
   if (claim == lifecycle::IdClaim::granted) return admit();
+  const std::uint8_t priority_class = claiming_request_->request.priority_class;
   claiming_request_.reset();
   if (claim == lifecycle::IdClaim::in_use) return reject_bad_request(id_in_use());
-  reject_for_overload();
+  if (owner_.core_.may_reject_after_unknown_attempts(priority_class)) return reject_for_overload();
+  fail_undecided();
 }
 
 void DownstreamServer::Connection::admit() {
--- a/src/net/downstream_server.hpp
+++ b/src/net/downstream_server.hpp
@@ -20,9 +20,10 @@
 
 // Counts of events of clients' connections since the start of the process.
 struct DownstreamCounters {
-  std::uint64_t accepted = 0;          // connections that were accepted
-  std::uint64_t invalid_requests = 0;  // requests that cannot be read or used
-  std::uint64_t health_checks = 0;     // answered, of load balancers
+  std::uint64_t accepted = 0;  // connections that were accepted
+  // Requests that cannot be read or used, or whose id is in use or may be.
+  std::uint64_t invalid_requests = 0;
+  std::uint64_t health_checks = 0;  // answered, of load balancers
   // Requests rejected for overload before the request manager had them.
   std::uint64_t overload_rejections = 0;
   std::uint64_t timed_out = 0;  // connections closed that sent no request in time
--- a/tests/net/handover_ids.cpp
+++ b/tests/net/handover_ids.cpp
@@ -43,8 +43,11 @@
 
 // A router with a request in flight, and a connection that brings another request later.
 struct RouterWithRequest {
-  RouterWithRequest()
-      : files(replica.port), first(files.config, files.tmp), kept(first.front), open(first.front) {
+  explicit RouterWithRequest(const std::string& class_rules = {})
+      : files(replica.port, 1, {}, class_rules),
+        first(files.config, files.tmp),
+        kept(first.front),
+        open(first.front) {
     open.send(request_text("open"));
     REQUIRE(replica.wait_until_begun("open"));
     REQUIRE(open.read_until("begins").starts_with("HTTP/1.1 200"));
@@ -134,6 +137,27 @@
   CHECK(router.replica.runs("kept") == 1);
 }
 
+// Guards against a request that runs twice: the other process may have its id in work, and the client is
+// answered that a repeat does no harm.
+TEST_CASE(
+    "handover: a request whose id nobody decides about is refused as harmless only if its class permits") {
+  struct Answer {
+    std::string class_rules;
+    std::string status;
+  };
+  const Answer answer =
+      GENERATE(Answer{R"(,"effect":"unsafe")", "HTTP/1.1 502"},
+               Answer{R"(,"effect":"keyed","dedupScope":"zone","window":5000000)", "HTTP/1.1 502"},
+               Answer{R"(,"effect":"keyed","dedupScope":"all","window":5000000)", "HTTP/1.1 503"});
+  RouterWithRequest router(answer.class_rules);
+  ServingRouter second(router.files.config, router.files.tmp);
+  REQUIRE(has_handed_over(router.first));
+  second.program.signal(SIGSTOP);
+  CHECK(first_line(router.kept, "kept").starts_with(answer.status));
+  second.program.signal(SIGCONT);
+  CHECK(router.replica.runs("kept") == 0);
+}
+
 TEST_CASE("handover: the id of a client that left is refused by the process and by its successors") {
   RouterWithRequest router;
   {
--- a/tests/net/router_processes.hpp
+++ b/tests/net/router_processes.hpp
@@ -93,8 +93,10 @@
 
 // The configuration and the folder that the processes of a hand-over share.
 struct SharedFiles {
-  // `limits`: the JSON object of the limits, empty for the default.
-  explicit SharedFiles(int replica = 1, int discovery = 1, const std::string& limits = {})
+  // `limits`: the JSON object of the limits, empty for the default. `class_rules`: further members of the
+  // class of all requests, each with a comma before it.
+  explicit SharedFiles(int replica = 1, int discovery = 1, const std::string& limits = {},
+                       const std::string& class_rules = {})
       : config(scratch.path("config.json")), tmp(scratch.path("tmp")) {
     std::filesystem::create_directory(tmp);
     write_bytes(
@@ -104,7 +106,8 @@
             (limits.empty() ? std::string() : "\"limits\":" + limits + ",") +
             R"("known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:)" +
             std::to_string(replica) +
-            R"(","state":"SERVING"}]},"settings":{"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true}],"tenants":[{"name":"acme","share":1}]}})");
+            R"(","state":"SERVING"}]},"settings":{"grades":[{"name":"chat","objective":4000000,"deadline":9000000,"streamed":true)" +
+            class_rules + R"(}],"tenants":[{"name":"acme","share":1}]}})");
     path = net::handover_path(tmp, "n1", "127.0.0.1:0");
   }
   Scratch scratch;
