--- a/src/emulator/attempts.cpp
+++ b/src/emulator/attempts.cpp
@@ -13,6 +13,8 @@
   attempt.router = router.index;
   attempt.replica = replica_index_.at(replica_id);
   attempt.request = request.handle;
+  attempt.sent_at = now_;
+  check_repeat(request, attempt.replica);
   if (!router.attempts.insert({id.request_id, handle}).second) ++result_.violations.concurrent_attempts;
   ++result_.attempts;
   if (replicas_[attempt.replica].zone != router.zone) ++result_.cross_zone_attempts;
@@ -55,15 +57,17 @@
   if (!replica.up && replica.unreachable) return;
   if (!replica.up)
     return schedule(now_ + network_.one_way(replica.zone, router_zone), EventType::attempt_reset, handle);
-  const ClientRequest* request = requests_.find(attempt->request);
+  ClientRequest* request = requests_.find(attempt->request);
   if (request == nullptr) return;
   const PlannedRequest& plan = request->plan;
   ++replica.result.sent;
   replica.result.work += plan.work;
   const Time back = network_.one_way(replica.zone, router_zone);
   const double error_rate = scenario_.kinds[replica.kind].error_rate;
-  if (error_rate > 0 && replica_random_.happens(error_rate))
+  if (error_rate > 0 && replica_random_.happens(error_rate)) {
+    request->executions.push_back({index, attempt->sent_at});
     return schedule(now_ + back, EventType::attempt_reset, handle);
+  }
   attempt->generated = plan.generated;
   if (!replica.engine->offer(now_, {.job = handle,
                                     .session = plan.session,
@@ -77,6 +81,7 @@
     return schedule(now_ + back, EventType::attempt_rejected, handle);
   }
   attempt->in_engine = true;
+  request->executions.push_back({index, attempt->sent_at});
   result_.wasted_work += plan.work;  // on_answered() subtracts the work of the answered request
   check_overload(index, plan.work);
   schedule_replica(index);
--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -71,6 +71,7 @@
   const PlannedRequest& plan = sent->plan;
   ++result_.tries;
   ++sent->tries;
+  sent->executions.clear();
   EmulatedRouter& router = choose_router(plan.zone);
   sent->router = router.index;
   Request request;
@@ -117,7 +118,7 @@
 void ClientRequest::finish() { day->on_answered(*this); }
 void ClientRequest::abort_answer() { day->on_interrupted(*this); }
 void ClientRequest::reject(Time retry_after) { day->on_rejected(*this, retry_after); }
-void ClientRequest::fail(core::FailureReason, Time retry_after) { day->on_rejected(*this, retry_after); }
+void ClientRequest::fail(core::FailureReason, Time retry_after) { day->on_failed(*this, retry_after); }
 
 void DaySimulation::on_answered(ClientRequest& request) {
   const PlannedRequest& plan = request.plan;
@@ -142,22 +143,38 @@
 }
 
 void DaySimulation::on_rejected(ClientRequest& request, Time retry_after) {
-  retry_or_give_up(request, retry_after);
+  check_rejection(request);
+  retry_or_give_up(request, TryEnding::rejected, retry_after);
+}
+
+void DaySimulation::on_failed(ClientRequest& request, Time retry_after) {
+  retry_or_give_up(request, TryEnding::failed, retry_after);
 }
 
 void DaySimulation::on_interrupted(ClientRequest& request) {
   request.resumed = true;
-  retry_or_give_up(request, 0);
+  retry_or_give_up(request, TryEnding::interrupted, 0);
+}
+
+// Returns whether a client repeats its request after such an end: always if nothing can run twice, within the
+// window if all replicas discard the repeat, and otherwise only after a rejection. An answer that was
+// interrupted is resumed, not repeated.
+bool DaySimulation::may_retry(const ClientRequest& request, TryEnding ending, Time retry_at) const {
+  const RequestClass& request_class = scenario_.classes[request.plan.class_index];
+  if (ending != TryEnding::failed || request_class.effect == Effect::safe) return true;
+  if (request_class.effect == Effect::unsafe || request_class.dedup_scope != DedupScope::all) return false;
+  return static_cast<double>(retry_at - request.plan.at) < 1000 * request_class.dedup_window_ms;
 }
 
-// Lets the client retry after a backoff, or gives up if no retry or no time remains.
-void DaySimulation::retry_or_give_up(ClientRequest& request, Time retry_after) {
+// Lets the client retry after a backoff, or gives up if it may not retry or no retry or no time remains.
+void DaySimulation::retry_or_give_up(ClientRequest& request, TryEnding ending, Time retry_after) {
   request.request_id = 0;
   Time backoff = std::llround(backoff_us_);
   if (retry_after > 0 && client_random_.happens(scenario_.honor_probability))
     backoff = std::max(backoff, retry_after);
   const bool retries_remain = static_cast<std::size_t>(request.tries) <= scenario_.retries;
   if (!retries_remain || now_ + backoff >= request.plan.deadline) return give_up(request);
+  if (!may_retry(request, ending, now_ + backoff)) return give_up(request);
   request.first_at = 0;
   schedule(now_ + backoff, EventType::retry_due, request.handle);
 }
--- a/src/emulator/day_entities.hpp
+++ b/src/emulator/day_entities.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/request_manager.hpp"
 #include "emulator/day.hpp"
@@ -17,6 +18,19 @@
 
 class DaySimulation;
 
+// What a client may conclude from a try without an answer (the wire protocol, "CLIENTS").
+enum class TryEnding {
+  rejected,     // a repeat is harmless
+  failed,       // a replica may have run it
+  interrupted,  // the answer ended in the middle
+};
+
+// A replica has begun to work on a try.
+struct Execution {
+  std::uint32_t replica = 0;
+  Time sent_at = 0;  // when the router sent the attempt
+};
+
 // One request of a client with all its tries. The object serves the core as the payload and the reply of the
 // current try, and exists until the outcome is final.
 struct ClientRequest : core::Payload, core::Reply {
@@ -31,7 +45,8 @@
   PlannedRequest plan;
   Time first_at = 0;  // time of the first token of the current try; 0: none has arrived
   std::uint32_t router = 0;
-  RequestId request_id = 0;  // id of the current try; 0: no try is open
+  RequestId request_id = 0;           // id of the current try; 0: no try is open
+  std::vector<Execution> executions;  // of the current try
   int tries = 0;
   bool resumed = false;  // an earlier answer was interrupted
   bool answered = false;
@@ -42,8 +57,9 @@
   core::AttemptId id;
   std::uint32_t router = 0;
   std::uint32_t replica = 0;
-  Handle request = 0;        // handle of the client's request
-  bool in_engine = false;    // the replica's engine holds the attempt's work
+  Handle request = 0;      // handle of the client's request
+  bool in_engine = false;  // the replica's engine holds the attempt's work
+  Time sent_at = 0;
   Time delivered_until = 0;  // time at which the last bytes sent so far reach the router
   double cached = 0;         // number of prompt tokens that the replica found in its cache
   double generated = 0;      // number of tokens of the complete answer
--- a/src/emulator/day_simulation.hpp
+++ b/src/emulator/day_simulation.hpp
@@ -47,7 +47,8 @@
 
   // The outcomes of a try, called by ClientRequest.
   void on_answered(ClientRequest& request);
-  void on_rejected(ClientRequest& request, Time retry_after);  // the try was rejected or failed
+  void on_rejected(ClientRequest& request, Time retry_after);  // the try was rejected
+  void on_failed(ClientRequest& request, Time retry_after);    // the try failed, or its router was lost
   void on_interrupted(ClientRequest& request);                 // the answer ended before it was complete
 
  private:
@@ -73,6 +74,12 @@
   void keep_connection(EmulatedRouter& router, const Attempt& attempt);
   void close_connection(const Attempt& attempt);
 
+  // The rule against duplicate effects (effects.cpp).
+  void check_repeat(const ClientRequest& request, std::uint32_t replica);
+  void check_rejection(const ClientRequest& request);
+  bool discards_repeat(const RequestClass& request_class, const Execution& earlier,
+                       std::uint32_t replica) const;
+
   // Replicas (replicas.cpp).
   std::uint32_t create_replica();
   void add_replica();  // adds a replica that starts now
@@ -106,7 +113,8 @@
   void send_request(const PlannedRequest& plan);
   void send_try(Handle handle);
   void cancel_request(Handle handle);
-  void retry_or_give_up(ClientRequest& request, Time retry_after);
+  bool may_retry(const ClientRequest& request, TryEnding ending, Time retry_at) const;
+  void retry_or_give_up(ClientRequest& request, TryEnding ending, Time retry_after);
   void give_up(ClientRequest& request);
   void end_request(ClientRequest& request, double earned_fraction);
   EmulatedRouter& choose_router(std::uint16_t zone);
--- a/src/emulator/result.hpp
+++ b/src/emulator/result.hpp
@@ -76,9 +76,14 @@
   // Attempts that started after the grace period at a replica that drains or is removed.
   std::uint64_t attempts_to_draining = 0;
   std::uint64_t overloaded_replicas = 0;  // replicas that were overloaded, and failed, while they warmed up
+  // Attempts at a request that a replica had run already, and whose repeat nobody discards.
+  std::uint64_t harmful_repeats = 0;
+  // Requests that a replica had run, rejected although a client's repeat is not discarded everywhere.
+  std::uint64_t harmful_rejections = 0;
 
   std::uint64_t all() const {
-    return unanswered_tries + concurrent_attempts + attempts_to_draining + overloaded_replicas;
+    return unanswered_tries + concurrent_attempts + attempts_to_draining + overloaded_replicas +
+           harmful_repeats + harmful_rejections;
   }
 };
 
--- a/src/emulator/result_json.cpp
+++ b/src/emulator/result_json.cpp
@@ -59,10 +59,9 @@
 }
 
 Json json_of(const RuleViolations& violations) {
-  return {{"lost", violations.unanswered_tries},
-          {"twice", violations.concurrent_attempts},
-          {"drained", violations.attempts_to_draining},
-          {"tipped", violations.overloaded_replicas}};
+  return {{"lost", violations.unanswered_tries},        {"twice", violations.concurrent_attempts},
+          {"drained", violations.attempts_to_draining}, {"tipped", violations.overloaded_replicas},
+          {"repeated", violations.harmful_repeats},     {"misled", violations.harmful_rejections}};
 }
 
 void add_lists(const Result& result, Json& json) {
--- a/src/emulator/routers.cpp
+++ b/src/emulator/routers.cpp
@@ -46,6 +46,9 @@
   settings.latency_objective_per_1000_prompt_tokens =
       from_milliseconds(request_class.latency_objective_ms_per_k);
   settings.deadline = from_milliseconds(request_class.deadline_ms);
+  settings.effect = request_class.effect;
+  settings.dedup_scope = request_class.dedup_scope;
+  settings.dedup_window = from_milliseconds(request_class.dedup_window_ms);
   return settings;
 }
 
@@ -149,7 +152,7 @@
     if (request->first_at > 0) {
       on_interrupted(*request);
     } else {
-      on_rejected(*request, 0);
+      on_failed(*request, 0);
     }
   }
 }
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -39,6 +39,31 @@
   section.number("error_rate", kind.error_rate, 0, 1);
 }
 
+const std::map<std::string, Effect>& effects() {
+  static const std::map<std::string, Effect> effects = {
+      {"safe", Effect::safe}, {"keyed", Effect::keyed}, {"unsafe", Effect::unsafe}};
+  return effects;
+}
+
+const std::map<std::string, DedupScope>& dedup_scopes() {
+  static const std::map<std::string, DedupScope> scopes = {{"all", DedupScope::all},
+                                                           {"hall", DedupScope::zone}};
+  return scopes;
+}
+
+// Reads one of the names of `values`; `into` stays as it is if there is no such key.
+template <typename Value>
+void read_name(Section& section, const char* key, Value& into, const std::map<std::string, Value>& values) {
+  std::vector<std::string> names;
+  std::string name;
+  for (const auto& [each, value] : values) {
+    names.push_back(each);
+    if (value == into) name = each;
+  }
+  section.one_of(key, name, names);
+  into = values.at(name);
+}
+
 void read_class(Section& section, RequestClass& request_class) {
   section.text("name", request_class.name);
   section.number("share", request_class.share, 0, kUnbounded);
@@ -48,6 +73,9 @@
   section.number("aim_ms_per_k", request_class.latency_objective_ms_per_k, 0, kUnbounded);
   section.number("token_ms", request_class.token_ms, 0.001, kUnbounded);
   section.number("deadline_ms", request_class.deadline_ms, 1, kUnbounded);
+  read_name(section, "effect", request_class.effect, effects());
+  read_name(section, "discarded_by", request_class.dedup_scope, dedup_scopes());
+  section.number("discarded_ms", request_class.dedup_window_ms, 0, kUnbounded);
   read_range(section, "turns", request_class.turns, 1, 1000);
   read_range(section, "new_tokens", request_class.new_tokens, 1);
   read_range(section, "made", request_class.generated, 1);
@@ -80,11 +108,7 @@
 }
 
 void read_fault(Section& section, DayFault& fault) {
-  std::vector<std::string> names;
-  for (const auto& [name, kind] : fault_kinds()) names.push_back(name);
-  std::string kind = "burst";
-  section.one_of("kind", kind, names);
-  fault.kind = fault_kinds().at(kind);
+  read_name(section, "kind", fault.kind, fault_kinds());
   read_range(section, "at_s", fault.at_s);
   read_range(section, "seconds", fault.seconds);
   read_range(section, "size", fault.size, 0, 1000);
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -52,6 +52,10 @@
   double latency_objective_ms_per_k = 0;  // added for each 1,000 prompt tokens
   double token_ms = 100;                  // maximum mean time for a token after the first one
   double deadline_ms = 5000;
+  // What running a request twice does, and which replicas discard the repeats of a keyed one for how long.
+  Effect effect = Effect::safe;
+  DedupScope dedup_scope = DedupScope::all;
+  double dedup_window_ms = 5000;
   Range turns{1, 1};  // number of requests of a session
   Range new_tokens{100, 100};
   Range generated{100, 100};
--- a/src/experiments/run_command.cpp
+++ b/src/experiments/run_command.cpp
@@ -58,9 +58,11 @@
 
 std::string rules_text(const Result& result) {
   if (result.violations.all() == 0) return "kept";
-  return fmt::format("BROKEN (lost {}, twice {}, drained {}, tipped {})", result.violations.unanswered_tries,
-                     result.violations.concurrent_attempts, result.violations.attempts_to_draining,
-                     result.violations.overloaded_replicas);
+  const emulator::RuleViolations& violations = result.violations;
+  return fmt::format("BROKEN (lost {}, twice {}, drained {}, tipped {}, repeated {}, misled {})",
+                     violations.unanswered_tries, violations.concurrent_attempts,
+                     violations.attempts_to_draining, violations.overloaded_replicas,
+                     violations.harmful_repeats, violations.harmful_rejections);
 }
 
 void print(const Result& result, bool time) {
--- a/tests/emulator/days.cpp
+++ b/tests/emulator/days.cpp
@@ -92,6 +92,39 @@
   }
 }
 
+// Guards against a router that answers or sends without regard to what has run, where the day's own record of
+// what the replicas have run shows it.
+TEST_CASE("no request runs twice and no client is misled, whatever the policy, the effect and the scope") {
+  struct Effects {
+    Effect effect;
+    DedupScope scope;
+  };
+  const Effects effects =
+      GENERATE(Effects{Effect::keyed, DedupScope::all}, Effects{Effect::keyed, DedupScope::zone},
+               Effects{Effect::unsafe, DedupScope::all});
+  for (const auto& policy : all_policies()) {
+    Scenario scenario = day_with_all_faults();
+    scenario.policy = policy;
+    scenario.fair_admission = true;
+    for (auto& kind : scenario.kinds) kind.error_rate = 0.1;
+    for (auto& each : scenario.classes) {
+      each.effect = effects.effect;
+      each.dedup_scope = effects.scope;
+      each.dedup_window_ms = 1000;
+    }
+    const Result result = play_day(scenario, 7);
+    INFO(policy << ": repeated " << result.violations.harmful_repeats << ", misled "
+                << result.violations.harmful_rejections);
+    CHECK(result.violations.harmful_repeats == 0);
+    CHECK(result.violations.harmful_rejections == 0);
+    // Where all replicas discard repeats, a request that may have run is rejected rather than failed.
+    const bool may_reject = effects.effect == Effect::keyed && effects.scope == DedupScope::all;
+    CHECK((result.totals.failed > 0) != may_reject);
+    CHECK(result.totals.served > 0);
+    CHECK(result.totals.counts_add_up());
+  }
+}
+
 // The operators' minimum: the longest prompts of a class, and single sessions, are not rejected much more
 // often than the others. The answered fraction of the longest prompts is at least half of their class's
 // answered fraction on a day of overload, and two thirds on a calm day.
--- a/tests/emulator/result_json.cpp
+++ b/tests/emulator/result_json.cpp
@@ -73,7 +73,7 @@
   CHECK(counts(day.at("sum"), {"tokens_made", "tokens_charged", "tokens_for_nobody"}) ==
         "tokens_made=98809.0 tokens_charged=86892.0 tokens_for_nobody=11917.0 ");
   CHECK(integers(day.at("trust")) == "fleet_losses=0 box_losses=0 regained=0 ");
-  CHECK(integers(day.at("rules")) == "lost=0 twice=0 drained=0 tipped=0 ");
+  CHECK(integers(day.at("rules")) == "lost=0 twice=0 drained=0 tipped=0 repeated=0 misled=0 ");
   CHECK(keys(day.at("classes").front()) == "name worth turns served in_time given_up first_us answer_us ");
   const std::vector<std::string> classes = {
       "turns=256 served=187 in_time=145 given_up=69 ", "turns=536 served=405 in_time=299 given_up=131 ",
