--- a/src/net/arrival_times.hpp
+++ b/src/net/arrival_times.hpp
@@ -1,5 +1,5 @@
-// When the unread bytes of a connection arrived, so that a request that waits behind others on its connection has
-// its time limit from its arrival on.
+// When the unread bytes of a connection arrived, so that a request that waits behind others on its connection
+// has its time limit from its arrival on.
 #pragma once
 
 #include <cstddef>
@@ -10,8 +10,8 @@
 
 namespace thornwick::net {
 
-// Times are microseconds on the caller's clock. Arrivals within kResolution of each other count as one, as do those
-// beyond the first kMaxArrivals; the time of a byte is then that of an earlier one.
+// Times are microseconds on the caller's clock. Arrivals within kResolution of each other count as one, as do
+// those beyond the first kMaxArrivals; the time of a byte is then that of an earlier one.
 class ArrivalTimes {
  public:
   static constexpr Time kResolution = milliseconds(20);
--- a/tests/net/pipelines.cpp
+++ b/tests/net/pipelines.cpp
@@ -1,13 +1,13 @@
-// Several requests that a client sends at once on one connection: each of them has its answer, whatever happens to the
-// router or to the requests before it.
+// Several requests that a client sends at once on one connection: each of them has its answer, whatever
+// happens to the router or to the requests before it.
 #include <catch2/catch.hpp>
 
 #include "scenario_runner.hpp"
 
 using thornwick::testing::ScenarioRunner;
 
-// Guards against requests that were read before SIGTERM or a drain and got no answer, because the connection was closed
-// with the answer to the first of them (review/8).
+// Guards against requests that were read before SIGTERM or a drain and got no answer, because the connection
+// was closed with the answer to the first of them (review/8).
 TEST_CASE("pipelines: requests that were sent before a shutdown or a drain are all answered") {
   const std::string event = GENERATE("router close", "call1 send LEAVE\\n\ncall1 expect +OK");
   ScenarioRunner runner({.ops = "127.0.0.1:0"});
@@ -79,10 +79,9 @@
     std::string request;
     std::string status;
   };
-  const Refusal refusal =
-      GENERATE(Refusal{"$ask(r1)", "HTTP/1.1 409 "},
-               Refusal{"GET /nothing HTTP/1.1\\r\\n\\r\\n", "HTTP/1.1 404 "},
-               Refusal{"POST /v1/chat/completions HTTP/1.1\\r\\nContent-Length: 2\\r\\n\\r\\n{}", "HTTP/1.1 400 "});
+  const Refusal refusal = GENERATE(
+      Refusal{"$ask(r1)", "HTTP/1.1 409 "}, Refusal{"GET /nothing HTTP/1.1\\r\\n\\r\\n", "HTTP/1.1 404 "},
+      Refusal{"POST /v1/chat/completions HTTP/1.1\\r\\nContent-Length: 2\\r\\n\\r\\n{}", "HTTP/1.1 400 "});
   ScenarioRunner runner({.replicas = 2});
   runner.run("client1 send $ask(r1)\nattempt1 expect X-Request-ID: r1\nclient2 send " + refusal.request +
              "$ask(r2)\nclient2 expect " + refusal.status + R"(
@@ -94,7 +93,8 @@
   )");
 }
 
-TEST_CASE("pipelines: in a crowd each request is rejected, also those behind others and after a shutdown began") {
+TEST_CASE(
+    "pipelines: in a crowd each request is rejected, also those behind others and after a shutdown began") {
   ScenarioRunner runner({.max_clients = 1});
   runner.run(R"(
     client1 send $ask(r1)
@@ -114,7 +114,8 @@
   )");
 }
 
-// Guards against a request that is sent on after its client's time, which had passed while it waited behind others.
+// Guards against a request that is sent on after its client's time, which had passed while it waited behind
+// others.
 TEST_CASE("pipelines: the time limit of a request counts from its arrival, also behind others") {
   ScenarioRunner runner;
   runner.run(R"(
