Hand-over: a used budget stays used when the process is replaced

Cause: the old process holds the store's file until it exits, the new one tried once to open it, and an offer of a hand-over had no accounts.

Change: right behind its offer the old process reports its accounts, and from then on both report every reservation and settlement to the other one (account-state, account-used; an older successor ignores the lines, an older predecessor gets none). The new process waits for the store: it grants nothing between the exit of the old process and the opening of the file, for at most 10 s. A store that is held by a process without a hand-over is read before anything is granted. svc_store_open at the admin endpoint.

--- a/src/budgets/account_backend.cpp
+++ b/src/budgets/account_backend.cpp
@@ -27,13 +27,24 @@
 }
 
 void LocalBackend::advance_mark(Account& account, Time wall_time) {
-  if (journal_ == nullptr) return;
+  if (journal_ == nullptr || journal_->state() != JournalState::open) return;
   account.mark.advance(account.key, account.limit, block_units(account), *journal_, wall_time);
 }
 
+// The file has an older state of the account, so the next mark is written at once.
+void LocalBackend::on_journal_opened(Account& account, Time wall_time) {
+  account.mark = DurabilityMark(account.limit);
+  advance_mark(account, wall_time);
+}
+
+void LocalBackend::report(const Account& account, Units units, Time taken_at) const {
+  if (observer_ && units != 0) observer_({account.key, units, taken_at});
+}
+
 LocalBackend::Coverage LocalBackend::coverage_of(Account& account, Units amount, Time wall_time) {
   if (account.limit.remaining(wall_time) < amount) return Coverage::over_limit;
-  if (journal_ == nullptr) return Coverage::granted;
+  if (journal_ == nullptr || journal_->state() == JournalState::absent) return Coverage::granted;
+  if (journal_->state() == JournalState::waiting) return Coverage::awaiting_journal;
   const bool covered = account.mark.covers(account.limit, amount, block_units(account), *journal_, wall_time);
   return covered ? Coverage::granted : Coverage::awaiting_journal;
 }
@@ -66,6 +77,7 @@
   if (result.denial) return result;
   for (Account* account : accounts) {
     account->limit.take(amount, wall_time);
+    report(*account, amount, wall_time);
     advance_mark(*account, wall_time);
   }
   return result;
@@ -78,6 +90,7 @@
     } else {
       account->limit.take(used - reservation.amount, wall_time);
     }
+    report(*account, used - reservation.amount, reservation.reserved_at);
     advance_mark(*account, wall_time);
   }
 }
--- a/src/budgets/account_backend.hpp
+++ b/src/budgets/account_backend.hpp
@@ -7,6 +7,7 @@
 #include "budgets/account.hpp"
 #include "budgets/budget.hpp"
 #include "budgets/journal.hpp"
+#include "budgets/usage_change.hpp"
 
 namespace thornwick::budgets {
 
@@ -37,6 +38,12 @@
   virtual AccountStatus status(Account& account, Time wall_time) = 0;
   // Records an account's exact state before a planned stop. Returns false if the record was not accepted.
   [[nodiscard]] virtual bool persist(Account& account, Time wall_time) = 0;
+  // Sets what is called after each change of an account's usage in this process.
+  virtual void observe(const UsageObserver&) {}
+  // Called after another process has changed an account's usage.
+  virtual void on_usage_changed(Account&, Time /*wall_time*/) {}
+  // Called for each account after the journal has opened (JournalState).
+  virtual void on_journal_opened(Account&, Time /*wall_time*/) {}
 };
 
 // Counts usage in this process. With a journal, grants stay close to what is durable (see
@@ -52,6 +59,9 @@
   void settle(const Reservation& reservation, Units used, Time wall_time) override;
   AccountStatus status(Account& account, Time wall_time) override;
   [[nodiscard]] bool persist(Account& account, Time wall_time) override;
+  void observe(const UsageObserver& observer) override { observer_ = observer; }
+  void on_usage_changed(Account& account, Time wall_time) override { advance_mark(account, wall_time); }
+  void on_journal_opened(Account& account, Time wall_time) override;
 
  private:
   enum class Coverage { granted, over_limit, awaiting_journal };
@@ -59,9 +69,11 @@
   Denial denial_of(Account& account, Units amount, Coverage coverage, Time wall_time);
   void advance_mark(Account& account, Time wall_time);
   Units block_units(const Account& account) const;
+  void report(const Account& account, Units units, Time taken_at) const;
 
   const Options& options_;
   Journal* journal_;
+  UsageObserver observer_;
 };
 
 // Delegates all counting to a quota store.
--- a/src/budgets/account_directory.cpp
+++ b/src/budgets/account_directory.cpp
@@ -12,6 +12,11 @@
     "|others";  // of the account that subjects beyond max_accounts share
 constexpr const char* kRemovedBudgetKeyPrefix = "gone|";  // of accounts whose budget was removed
 
+void apply_to(Limit& limit, const UsageChange& change, Time wall_time) {
+  if (change.units >= 0) return limit.take(change.units, wall_time);
+  limit.refund(-change.units, wall_time, change.taken_at);
+}
+
 std::uint64_t cache_key(const QuotaSubject& subject) {
   return std::uint64_t{subject.member} << 32 | std::uint64_t{subject.model} << 16 | subject.priority_class;
 }
@@ -71,8 +76,8 @@
   }
 }
 
-const Budget* AccountDirectory::budget_of(const Account& account) const {
-  const std::string name = account.key.substr(0, account.key.find('|'));
+const Budget* AccountDirectory::budget_of(std::string_view key) const {
+  const std::string_view name = key.substr(0, key.find('|'));
   const auto found = std::find_if(options_.budgets.begin(), options_.budgets.end(),
                                   [&](const Budget& budget) { return budget.name == name; });
   return found == options_.budgets.end() ? nullptr : &*found;
@@ -82,7 +87,7 @@
   by_subject_.clear();
   by_key_.clear();
   for (Account& account : accounts_) {
-    const Budget* budget = budget_of(account);
+    const Budget* budget = budget_of(account.key);
     if (budget == nullptr || budget->rule.kind != account.limit.rule().kind) {
       account.key = kRemovedBudgetKeyPrefix + account.key;
       continue;
@@ -95,7 +100,39 @@
 }
 
 void AccountDirectory::restore(const std::string& key, const LimitState& state) {
-  if (restored_.size() < options_.max_accounts) restored_[key] = state;
+  if (restored_.size() < options_.max_accounts || restored_.contains(key)) restored_[key] = state;
+}
+
+void AccountDirectory::merge(const std::string& key, const LimitState& state, Time wall_time) {
+  const auto found = by_key_.find(key);
+  if (found == by_key_.end()) return restore(key, state);
+  Limit& limit = found->second->limit;
+  const Units used_here = limit.rule().amount - limit.remaining(wall_time);
+  limit = Limit(limit.rule(), state, wall_time);
+  limit.take(used_here, wall_time);
+}
+
+void AccountDirectory::apply(const UsageChange& change, Time wall_time) {
+  if (const auto found = by_key_.find(change.key); found != by_key_.end()) {
+    apply_to(found->second->limit, change, wall_time);
+    backend_.on_usage_changed(*found->second, wall_time);
+    return;
+  }
+  const Budget* budget = budget_of(change.key);
+  if (budget == nullptr) return;
+  const LimitRule rule = router_share(options_, budget->rule);
+  const auto restored = restored_.find(change.key);
+  Limit limit =
+      restored == restored_.end() ? Limit(rule, wall_time) : Limit(rule, restored->second, wall_time);
+  apply_to(limit, change, wall_time);
+  restore(change.key, limit.state(wall_time));
+}
+
+std::vector<AccountState> AccountDirectory::states(Time wall_time) {
+  std::vector<AccountState> states;
+  for (const auto& [key, account] : by_key_) states.push_back({key, account->limit.state(wall_time)});
+  for (const auto& [key, state] : restored_) states.push_back({key, state});
+  return states;
 }
 
 }  // namespace thornwick::budgets
--- a/src/budgets/account_directory.hpp
+++ b/src/budgets/account_directory.hpp
@@ -10,10 +10,13 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "budgets/account.hpp"
 #include "budgets/account_backend.hpp"
 #include "budgets/budget.hpp"
+#include "budgets/usage_change.hpp"
 
 namespace thornwick::budgets {
 
@@ -33,6 +36,13 @@
   void on_options_changed(Time wall_time);
   // Sets the state that an account had before this router started; it is used when the account is opened.
   void restore(const std::string& key, const LimitState& state);
+  // Adds what this router has used of an account since its start to a state that another process had of it.
+  void merge(const std::string& key, const LimitState& state, Time wall_time);
+  bool knows(const std::string& key) const { return by_key_.contains(key) || restored_.contains(key); }
+  // Applies a change that another process has made. A change of no budget's account has no effect.
+  void apply(const UsageChange& change, Time wall_time);
+  // The states of all accounts that requests can find or that were restored.
+  std::vector<AccountState> states(Time wall_time);
 
   // All accounts, including those of removed budgets.
   std::deque<Account>& all() { return accounts_; }
@@ -43,9 +53,9 @@
   std::uint64_t overflows() const { return overflows_; }
 
  private:
+  const Budget* budget_of(std::string_view key) const;
   Account& account_of(const Budget& budget, const QuotaSubject& subject, Time wall_time);
   Account& open(const std::string& key, const Budget& budget, Time wall_time);
-  const Budget* budget_of(const Account& account) const;
 
   const Options& options_;
   AccountBackend& backend_;
--- a/src/budgets/accounts.cpp
+++ b/src/budgets/accounts.cpp
@@ -89,6 +89,10 @@
   return tightest;
 }
 
+void Accounts::on_journal_opened(Time wall_time) {
+  for (Account& account : directory_.all()) backend_->on_journal_opened(account, wall_time);
+}
+
 bool Accounts::persist_all(Time wall_time) {
   bool all_accepted = true;
   for (Account& account : directory_.all()) {
--- a/src/budgets/accounts.hpp
+++ b/src/budgets/accounts.hpp
@@ -22,6 +22,7 @@
 #include "budgets/journal.hpp"
 #include "budgets/limit.hpp"
 #include "budgets/quota_store.hpp"
+#include "budgets/usage_change.hpp"
 
 namespace thornwick::budgets {
 
@@ -80,6 +81,23 @@
 
   // Restores an account from its journal record. Must be called before the first request.
   void restore(const std::string& key, const LimitState& state) { directory_.restore(key, state); }
+  // While another process of this router counts the same accounts (usage_change.hpp). Without effect on a
+  // quota store, which counts for all of them.
+
+  // Sets what is called after each change of usage in this process.
+  void observe(const UsageObserver& observer) { backend_->observe(observer); }
+  std::vector<AccountState> states(Time wall_time) { return directory_.states(wall_time); }
+  // Whether an account has been used here, or restored.
+  bool knows(const std::string& key) const { return directory_.knows(key); }
+  // Adds what was used here since the start to the state that another process had of an account.
+  void merge(const AccountState& account, Time wall_time) {
+    directory_.merge(account.key, account.state, wall_time);
+  }
+  // Applies a change that another process has made.
+  void apply(const UsageChange& change, Time wall_time) { directory_.apply(change, wall_time); }
+  // Must be called when the journal has opened after the construction (JournalState).
+  void on_journal_opened(Time wall_time);
+
   // Records the exact state of every account before a planned stop. Returns false if a record was not
   // accepted.
   bool persist_all(Time wall_time);
--- a/src/budgets/journal.hpp
+++ b/src/budgets/journal.hpp
@@ -8,6 +8,13 @@
 
 namespace thornwick::budgets {
 
+// Whether a journal records.
+enum class JournalState {
+  open,    // records are accepted, and grants stay close to what is durable
+  absent,  // nothing is recorded here, and grants do not depend on it
+  waiting  // nothing is recorded until it opens, and nothing is granted
+};
+
 // An append-only log of accounts' states; the newest record of a key is valid. Appending never blocks:
 // records become durable later, in the order of their numbers.
 class Journal {
@@ -18,6 +25,7 @@
   virtual std::uint64_t append(const std::string& key, const LimitState& state) = 0;
   // The number of the newest durable record; records with lower numbers are durable too.
   virtual std::uint64_t last_durable_record() const = 0;
+  virtual JournalState state() const { return JournalState::open; }
 };
 
 }  // namespace thornwick::budgets
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -59,6 +59,7 @@
   append_metric(exposition, "svc_current", "gauge", gauges.in_flight);
   append_metric(exposition, "svc_cluster_size", "gauge", gauges.replicas);
   append_metric(exposition, "svc_cluster_unhealthy", "gauge", gauges.ejected_replicas);
+  if (gauges.store_open) append_metric(exposition, "svc_store_open", "gauge", *gauges.store_open ? 1 : 0);
   return exposition;
 }
 
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,9 +24,10 @@
 
 // Values at the time at which the metrics are fetched.
 struct Gauges {
-  std::size_t in_flight = 0;         // requests that were admitted and have not ended
-  std::size_t replicas = 0;          // replicas in the endpoint list
-  std::size_t ejected_replicas = 0;  // listed replicas that get no requests because they failed
+  std::size_t in_flight = 0;            // requests that were admitted and have not ended
+  std::size_t replicas = 0;             // replicas in the endpoint list
+  std::size_t ejected_replicas = 0;     // listed replicas that get no requests because they failed
+  std::optional<bool> store_open = {};  // whether the store is open; none: there is none
 };
 
 // The counters of one router process.
--- a/src/net/handover_client.cpp
+++ b/src/net/handover_client.cpp
@@ -71,7 +71,12 @@
       callbacks_.id_message(*id_message);
       continue;
     }
+    if (const auto account_message = parse_account_line(*line)) {
+      callbacks_.account_message(*account_message);
+      continue;
+    }
     const auto message = parse_handover_line(*line);
+    if (message == HandoverMessage::shares_accounts) callbacks_.accounts_shared();
     if (message == HandoverMessage::yielded || message == HandoverMessage::yielded_drained)
       callbacks_.predecessor_yielded(message == HandoverMessage::yielded_drained);
   }
--- a/src/net/handover_client.hpp
+++ b/src/net/handover_client.hpp
@@ -26,6 +26,10 @@
     std::function<void()> predecessor_exited;
     // A message about a request id has come.
     std::function<void(const lifecycle::IdMessage&)> id_message = [](const lifecycle::IdMessage&) {};
+    // The old process reports accounts from now on, and takes reports of them.
+    std::function<void()> accounts_shared = [] {};
+    // A message about an account has come.
+    std::function<void(const AccountMessage&)> account_message = [](const AccountMessage&) {};
   };
 
   // `connection`: HandoverState::connection, from receive_handover().
@@ -35,6 +39,8 @@
   // Handles messages of the old process that have come and were not read yet.
   void receive_pending() { stream_.receive_pending(); }
   void send(const lifecycle::IdMessage& message) { stream_.write(to_line(message)); }
+  // Must be called only after Callbacks::accounts_shared.
+  void send(const AccountMessage& message) { stream_.write(to_line(message)); }
   // Notifies the old process that this process serves.
   void send_serving();
   // Notifies the old process that this process has handed over to a successor of its own. The old process
--- a/src/net/handover_protocol.cpp
+++ b/src/net/handover_protocol.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdint>
 #include <cstdio>
 #include <msgpack.hpp>
@@ -164,6 +165,18 @@
   return {};
 }
 
+// The first word of the line of a message about an account.
+std::string_view word_of(AccountMessage::Kind kind) {
+  return kind == AccountMessage::Kind::state ? "account-state" : "account-used";
+}
+
+// Takes the text before the next space, and that space; all of the text if there is none.
+std::string_view take_word(std::string_view& text) {
+  const std::string_view word = text.substr(0, text.find(' '));
+  text.remove_prefix(std::min(text.size(), word.size() + 1));
+  return word;
+}
+
 }  // namespace
 
 std::string_view to_line(HandoverMessage message) {
@@ -171,6 +184,7 @@
     case HandoverMessage::share_ids: return "share ids\n";
     case HandoverMessage::serving: return "serving\n";
     case HandoverMessage::handed_over: return "passed on\n";
+    case HandoverMessage::shares_accounts: return "shares accounts\n";
     case HandoverMessage::yielded: return "yours\n";
     case HandoverMessage::yielded_drained: return "yours, drained\n";
   }
@@ -180,7 +194,7 @@
 std::optional<HandoverMessage> parse_handover_line(std::string_view line) {
   for (const HandoverMessage message :
        {HandoverMessage::serving, HandoverMessage::handed_over, HandoverMessage::yielded,
-        HandoverMessage::yielded_drained, HandoverMessage::share_ids}) {
+        HandoverMessage::yielded_drained, HandoverMessage::share_ids, HandoverMessage::shares_accounts}) {
     if (line == to_line(message)) return message;
   }
   return std::nullopt;
@@ -204,6 +218,36 @@
   return std::nullopt;
 }
 
+std::string to_line(const AccountMessage& message) {
+  if (message.key.empty() || message.key.size() > kMaxAccountKey ||
+      message.key.find('\n') != std::string::npos)
+    return {};
+  std::string line(word_of(message.kind));
+  for (const std::int64_t number : {message.units, message.limit, message.time})
+    line += ' ' + std::to_string(number);
+  return line + ' ' + message.key + '\n';
+}
+
+std::optional<AccountMessage> parse_account_line(std::string_view line) {
+  AccountMessage message;
+  if (!line.ends_with('\n')) return std::nullopt;
+  line.remove_suffix(1);
+  const auto word = take_word(line);
+  if (word == word_of(AccountMessage::Kind::used)) {
+    message.kind = AccountMessage::Kind::used;
+  } else if (word != word_of(AccountMessage::Kind::state)) {
+    return std::nullopt;
+  }
+  for (std::int64_t* number : {&message.units, &message.limit, &message.time}) {
+    const std::string_view digits = take_word(line);
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), *number);
+    if (error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+  }
+  if (line.empty()) return std::nullopt;
+  message.key = line;
+  return message;
+}
+
 std::optional<std::string> HandoverLineReader::next() {
   const auto end = received_.find('\n');
   if (end == std::string::npos) return std::nullopt;
--- a/src/net/handover_protocol.hpp
+++ b/src/net/handover_protocol.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <stdexcept>
@@ -19,15 +20,34 @@
 namespace thornwick::net {
 
 enum class HandoverMessage {
-  share_ids,       // from the new process: the old one shall report its request ids and ask for later ones
-  serving,         // from the new process, when it serves
-  handed_over,     // from the new process, when it has handed over to a successor of its own
-  yielded,         // from the old process, in answer to `serving`: it accepts no more connections
+  share_ids,        // from the new process: the old one shall report its request ids and ask for later ones
+  serving,          // from the new process, when it serves
+  handed_over,      // from the new process, when it has handed over to a successor of its own
+  shares_accounts,  // from the old process, right behind its offer: it reports the accounts of its budgets,
+                    // and takes reports of them
+  yielded,          // from the old process, in answer to `serving`: it accepts no more connections
   yielded_drained  // like `yielded`, from a process that an operator has drained; the new process drains, too
 };
 
-// The maximal length of a message's line in bytes. A request id has at most 256 bytes.
+// The maximal length of a message's line in bytes. A request id has at most 256 bytes, and the key of an
+// account that is reported kMaxAccountKey.
 inline constexpr std::size_t kMaxHandoverLine = 320;
+inline constexpr std::size_t kMaxAccountKey = 224;
+
+// What one process reports of an account of a budget (budgets/usage_change.hpp). Amounts are in the units of
+// the budgets, times are wall-clock times in microseconds since 1970.
+struct AccountMessage {
+  enum class Kind {
+    state,  // from the old process: the state of an account
+    used    // from both: the usage of an account has changed
+  };
+  Kind kind = Kind::state;
+  std::string key;
+  std::int64_t units = 0;  // state: what remains; used: what was taken, below 0 if it was refunded
+  std::int64_t limit = 0;  // state: the amount of the limit; used: 0
+  std::int64_t time = 0;   // state: the time of the state; used: when the units were taken
+  bool operator==(const AccountMessage&) const = default;
+};
 
 // Returns the line of a message, with its newline.
 std::string_view to_line(HandoverMessage message);
@@ -38,6 +58,11 @@
 std::string to_line(const lifecycle::IdMessage& message);
 std::optional<lifecycle::IdMessage> parse_id_line(std::string_view line);
 
+// The same for a message about an account; empty if its key has too many bytes, or a byte that a line cannot
+// have.
+std::string to_line(const AccountMessage& message);
+std::optional<AccountMessage> parse_account_line(std::string_view line);
+
 // Splits the bytes of a connection into lines.
 class HandoverLineReader {
  public:
--- a/src/net/handover_server.cpp
+++ b/src/net/handover_server.cpp
@@ -59,6 +59,7 @@
   serving_timeout_.start(kServingTimeout, [this] { on_lost(); });
   logging::info("handover") << "successor connected: handing over " << offer.socket_count << " sockets and "
                             << bytes << " bytes";
+  callbacks_.offer_sent();
 }
 
 void HandoverServer::on_bytes(std::string_view bytes) {
@@ -77,6 +78,10 @@
     callbacks_.id_message(*id_message);
     return true;
   }
+  if (const auto account_message = parse_account_line(line)) {
+    callbacks_.account_message(*account_message);
+    return true;
+  }
   const auto message = parse_handover_line(line);
   if (message == HandoverMessage::share_ids) {
     callbacks_.ids_requested();
@@ -90,8 +95,8 @@
   return true;
 }
 
-void HandoverServer::send(const lifecycle::IdMessage& message) {
-  if (successor_) successor_->write(to_line(message));
+void HandoverServer::send(std::string line) {
+  if (successor_) successor_->write(std::move(line));
 }
 
 void HandoverServer::receive_pending() {
--- a/src/net/handover_server.hpp
+++ b/src/net/handover_server.hpp
@@ -21,6 +21,8 @@
     // Returns the state for the successor, without HandoverState::connection. The sockets stay open in this
     // process.
     std::function<HandoverState()> offer;
+    // The offer was sent. What is sent to the successor from now on comes behind it.
+    std::function<void()> offer_sent = [] {};
     // The successor serves. Returns whether this router is drained.
     std::function<bool()> successor_serving;
     // The successor was notified that this process has yielded.
@@ -31,6 +33,8 @@
     std::function<void()> ids_requested = [] {};
     // A message about a request id has come.
     std::function<void(const lifecycle::IdMessage&)> id_message = [](const lifecycle::IdMessage&) {};
+    // A message about an account has come.
+    std::function<void(const AccountMessage&)> account_message = [](const AccountMessage&) {};
   };
 
   // Removes a file that an earlier process left at `path`. Throws NetError if the server cannot listen at
@@ -41,11 +45,15 @@
   ~HandoverServer();
 
   // Sends a message to the successor. Has no effect if none is connected.
-  void send(const lifecycle::IdMessage& message);
+  void send(const lifecycle::IdMessage& message) { send(to_line(message)); }
+  void send(const AccountMessage& message) { send(to_line(message)); }
+  // The same, to notify the successor that accounts are reported from now on.
+  void send_shares_accounts() { send(std::string(to_line(HandoverMessage::shares_accounts))); }
   // Handles messages of the successor that have come and were not read yet.
   void receive_pending();
 
  private:
+  void send(std::string line);
   void open();
   void on_accepted(Owned<GSocket> socket);
   void start_offer(Owned<GSocket> socket);
--- a/src/node/durable_state.cpp
+++ b/src/node/durable_state.cpp
@@ -16,31 +16,95 @@
 constexpr std::size_t kStoreMemoryDivisor = 16;
 constexpr std::size_t kStoreBatches = 3;
 constexpr Time kMinFlushInterval = milliseconds(1);
+// Without the store no budget grants anything for this long, so that no other process grants the same. A
+// process that is replaced has normally exited by then.
+constexpr Time kMaxStoreWait = seconds(10);
+constexpr Time kSlowStoreRetryInterval = seconds(1);  // afterwards
 constexpr double kMinFairShareWeight = 1e-6;
 
 }  // namespace
 
 DurableState::DurableState(const config::Config& config, ReplicaUidLookup uid_of,
-                           persistence::ReplicaIdLookup id_of)
+                           persistence::ReplicaIdLookup id_of, StartedBeside started_beside)
     : config_(config), uid_of_(std::move(uid_of)), id_of_(std::move(id_of)), affinity_log_(uid_of_) {
   if (config.operator_file.affinity.enabled)
     affinity_table_ = std::make_unique<affinity::AffinityTable>(affinity_options(config), &affinity_log_);
+  const bool alone = started_beside == StartedBeside::nobody;
+  quota_journal_ = std::make_unique<persistence::DeferredQuotaJournal>(alone ? budgets::JournalState::waiting
+                                                                             : budgets::JournalState::absent);
+  store_wait_ends_ = net::now_us() + kMaxStoreWait;
   open_store();
   open_quota_service();
   open_fair_share();
 }
 
-void DurableState::open_store() {
+bool DurableState::wants_store() const {
   const bool budgets = !config_.operator_file.budgets.budgets.empty();
-  if (config_.operator_file.store.file.empty() || (!affinity_table_ && !budgets)) return;
+  return !config_.operator_file.store.file.empty() && (affinity_table_ || budgets);
+}
+
+void DurableState::open_store() {
+  if (!wants_store()) return;
   try {
     state_store_ = make_state_store();
     if (affinity_table_) load_affinity_table();
     schedule_store_flush();
   } catch (const store::StoreError& error) {
     state_store_.reset();
-    logging::error("store") << "state is not persisted: " << error.what();
+    if (error.kind != store::ErrorKind::held) return give_up_store(error.what());
+    logging::warning("store") << "waiting for the store: " << error.what();
+    wait_for_store(store_retry_interval_);
+  }
+}
+
+void DurableState::wait_for_store(Time interval) {
+  store_timer_.start(interval, [this] { retry_store(); });
+}
+
+void DurableState::retry_store() {
+  try {
+    state_store_ = make_state_store();
+  } catch (const store::StoreError& error) {
+    if (error.kind != store::ErrorKind::held) return give_up_store(error.what());
+    const bool grants = quota_journal_->state() == budgets::JournalState::absent;
+    if (grants || net::now_us() < store_wait_ends_) return wait_for_store(store_retry_interval_);
+    give_up_store(error.what());
+    store_retry_interval_ = kSlowStoreRetryInterval;
+    return wait_for_store(store_retry_interval_);
   }
+  on_store_opened();
+}
+
+void DurableState::give_up_store(const std::string& problem) {
+  quota_journal_->set_until_open(budgets::JournalState::absent);
+  logging::error("store") << "state is not persisted: " << problem;
+}
+
+// The router has served without the store, so what it has learned and counted is newer than the file, but for
+// the accounts of a predecessor that did not report them.
+void DurableState::on_store_opened() {
+  logging::info("store") << "opened " << config_.operator_file.store.file << " after another process";
+  if (affinity_table_) state_store_->record(*affinity_table_);
+  if (quota_service_ && !quota_proxy_ && !config_.operator_file.budgets.budgets.empty()) {
+    quota_state_store_ =
+        std::make_unique<persistence::QuotaStateStore>(state_store_->file(), state_store_->writer());
+    load_accounts();
+    quota_journal_->open(*quota_state_store_);
+    quota_service_->accounts.on_journal_opened(net::now_us());
+  }
+  schedule_store_flush();
+}
+
+void DurableState::on_predecessor_gone() {
+  if (!store_timer_.running()) return;
+  quota_journal_->set_until_open(budgets::JournalState::waiting);
+  store_wait_ends_ = net::now_us() + kMaxStoreWait;
+  wait_for_store(0);
+}
+
+std::optional<bool> DurableState::store_is_open() const {
+  if (!wants_store()) return std::nullopt;
+  return state_store_ != nullptr;
 }
 
 std::unique_ptr<persistence::StateStore> DurableState::make_state_store() {
@@ -96,8 +160,9 @@
   const config::BudgetsFile& file = config_.operator_file.budgets;
   if (file.budgets.empty() && !file.fair_admission) return;
   if (!file.budgets.empty()) open_quota_backend();
-  quota_service_ = std::make_unique<budgets::QuotaService>(budget_options(config_), quota_state_store_.get(),
-                                                           quota_proxy_.get());
+  const bool has_journal = quota_state_store_ != nullptr || store_timer_.running();
+  quota_service_ = std::make_unique<budgets::QuotaService>(
+      budget_options(config_), has_journal ? quota_journal_.get() : nullptr, quota_proxy_.get());
   if (quota_proxy_) quota_service_->accounts.open_all(net::now_us());
   update_prices();
   if (file.log_charges) {
@@ -116,11 +181,15 @@
   } else if (state_store_) {
     quota_state_store_ =
         std::make_unique<persistence::QuotaStateStore>(state_store_->file(), state_store_->writer());
+    quota_journal_->open(*quota_state_store_);
   }
 }
 
 void DurableState::load_accounts() {
-  const auto loaded = quota_state_store_->load(quota_service_->accounts);
+  // What the predecessor has reported is newer than the file.
+  const auto scope =
+      accounts_shared_ ? persistence::LoadScope::unknown_accounts : persistence::LoadScope::all;
+  const auto loaded = quota_state_store_->load(quota_service_->accounts, net::now_us(), scope);
   logging::info("budgets") << "loaded from " << config_.operator_file.store.file << ": " << loaded.accounts
                            << " accounts; " << loaded.unreadable << " unreadable";
 }
--- a/src/node/durable_state.hpp
+++ b/src/node/durable_state.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -14,17 +15,30 @@
 #include "net/loop.hpp"
 #include "node/affinity_report.hpp"
 #include "node/local_quota_proxy.hpp"
+#include "persistence/deferred_quota_journal.hpp"
 #include "persistence/quota_state_store.hpp"
 #include "persistence/state_store.hpp"
 
 namespace thornwick::node {
 
+// Whether another process of this router serves when this one starts.
+enum class StartedBeside { nobody, predecessor };
+
 class DurableState {
  public:
-  // Opens the store and loads its contents. If the store cannot be opened, an error is logged and the router
-  // serves without a store. `config` is not owned, must outlive this object, and may change. Throws
-  // BadConfig.
-  DurableState(const config::Config& config, ReplicaUidLookup uid_of, persistence::ReplicaIdLookup id_of);
+  // Opens the store and loads its contents. If another process holds the store's file, opens it later; if it
+  // cannot be opened for another reason, an error is logged and the router serves without a store. `config`
+  // is not owned, must outlive this object, and may change. Throws BadConfig.
+  DurableState(const config::Config& config, ReplicaUidLookup uid_of, persistence::ReplicaIdLookup id_of,
+               StartedBeside started_beside = StartedBeside::nobody);
+
+  // The predecessor reports its accounts, so that they need not be read from the store.
+  void on_accounts_shared() { accounts_shared_ = true; }
+  // The predecessor records nothing for this process, or not any more. Until the store is open, but for a
+  // limited time, no budget grants anything.
+  void on_predecessor_gone();
+  // Whether the store of the configuration is open; none if the configuration has no store.
+  std::optional<bool> store_is_open() const;
 
   // Makes all state durable at the end of a graceful shutdown. Blocks for at most `timeout` (microseconds).
   // Returns false if the time was too short.
@@ -48,7 +62,12 @@
   budgets::FairShare* fair_share() const { return fair_share_.get(); }
 
  private:
+  bool wants_store() const;
   void open_store();
+  void wait_for_store(Time interval);
+  void retry_store();
+  void give_up_store(const std::string& problem);
+  void on_store_opened();
   std::unique_ptr<persistence::StateStore> make_state_store();
   void load_affinity_table();
   void schedule_store_flush();
@@ -68,11 +87,16 @@
   // store.
   std::unique_ptr<persistence::StateStore> state_store_;
   std::unique_ptr<affinity::AffinityTable> affinity_table_;
-  std::unique_ptr<persistence::QuotaStateStore> quota_state_store_;  // for accounts in the state store
-  std::unique_ptr<LocalQuotaProxy> quota_proxy_;                     // for accounts that the group replicates
+  std::unique_ptr<persistence::QuotaStateStore> quota_state_store_;   // for accounts in the state store
+  std::unique_ptr<persistence::DeferredQuotaJournal> quota_journal_;  // passes on to quota_state_store_
+  std::unique_ptr<LocalQuotaProxy> quota_proxy_;  // for accounts that the group replicates
   std::unique_ptr<budgets::QuotaService> quota_service_;
   std::unique_ptr<budgets::FairShare> fair_share_;
   net::Timer flush_timer_;
+  net::Timer store_timer_;  // until the next attempt to open the store
+  Time store_retry_interval_ = milliseconds(50);
+  Time store_wait_ends_ = 0;  // on the loop's clock: until then no budget grants anything without the store
+  bool accounts_shared_ = false;
   bool store_writes_fail_ = false;
 };
 
--- a/src/node/handover_coordinator.cpp
+++ b/src/node/handover_coordinator.cpp
@@ -53,6 +53,7 @@
   callbacks.id_message = [&ids](const lifecycle::IdMessage& message) {
     ids.on_predecessor_message(message, net::now_us());
   };
+  set_up_account_messages(callbacks);
   client_ = std::make_unique<net::HandoverClient>(std::move(offer.connection), std::move(callbacks));
   if (offer.request_ids) {
     ids.begin_succession(*offer.request_ids, [this](const lifecycle::IdMessage& message) {
@@ -76,6 +77,7 @@
 // The predecessor has freed the path of the handover socket, so this process can listen there for its own
 // successor.
 void HandoverCoordinator::on_predecessor_yielded(bool drained) {
+  if (!predecessor_counts_accounts_) dependencies_.durable_state.on_predecessor_gone();
   if (drained && dependencies_.router_lifecycle.begin_drain(net::now_us()))
     callbacks_.phase_changed(PhaseChange::predecessor_drained);
   // An operator has ended the drain since the predecessor made its offer.
@@ -90,6 +92,8 @@
   net::descriptors().limit = descriptor_limit_;
   net::memory_account().set_limit(memory_limit_);
   client_.reset();
+  predecessor_counts_accounts_ = false;
+  dependencies_.durable_state.on_predecessor_gone();
   dependencies_.fronts.request_ids().on_predecessor_exited(net::now_us());
   accept_connections();
   callbacks_.open_cluster();
@@ -125,6 +129,7 @@
   callbacks.id_message = [this](const lifecycle::IdMessage& message) {
     dependencies_.fronts.request_ids().on_successor_message(message);
   };
+  set_up_account_messages(callbacks);
   try {
     server_ = std::make_unique<net::HandoverServer>(path, std::move(callbacks));
   } catch (const net::NetError& error) {
@@ -187,6 +192,7 @@
   net::descriptors().limit = descriptor_limit_;
   net::memory_account().set_limit(memory_limit_);
   dependencies_.fronts.request_ids().on_successor_lost();
+  successor_counts_accounts_ = false;
   claim_timer_.stop();
   if (!handed_over) return;
   dependencies_.router_lifecycle.cancel_handover();
--- a/src/node/handover_coordinator.hpp
+++ b/src/node/handover_coordinator.hpp
@@ -17,6 +17,7 @@
 #include "net/peer_socket.hpp"
 #include "node/downstream_fronts.hpp"
 #include "node/drain_watcher.hpp"
+#include "node/durable_state.hpp"
 #include "node/phase_change.hpp"
 
 namespace thornwick::node {
@@ -31,6 +32,7 @@
     net::PeerSocket& peers;
     const core::RequestManager& core;
     const affinity::AffinityTable* affinity_table;  // may be null
+    DurableState& durable_state;
     DownstreamFronts& fronts;
     DrainWatcher& drain_watcher;
   };
@@ -59,6 +61,14 @@
   void report_serving();
   void accept_connections();
   void share_ids();
+  void set_up_account_messages(net::HandoverClient::Callbacks& callbacks);
+  void set_up_account_messages(net::HandoverServer::Callbacks& callbacks);
+  budgets::Accounts* shared_accounts() const;
+  void report_accounts_to_successor();
+  void on_accounts_shared();
+  void report_usage(const budgets::UsageChange& change);
+  void on_predecessor_account(const net::AccountMessage& message);
+  void on_successor_account(const net::AccountMessage& message);
   void check_claims();
   net::HandoverState offer();
   std::vector<std::string> offered_ids() const;
@@ -75,6 +85,8 @@
   net::Timer accept_timer_;  // limits the wait for a predecessor that does not yield
   net::Timer claim_timer_;
   bool drained_by_offer_ = false;
+  bool successor_counts_accounts_ = false;    // the successor gets reports of accounts
+  bool predecessor_counts_accounts_ = false;  // the predecessor sends and takes reports of accounts
 };
 
 }  // namespace thornwick::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,7 +36,8 @@
       flow_exporter_(make_flow_exporter()),
       durable_state_(
           config_, [this](ReplicaId replica) { return uid_of(endpoints_, replica); },
-          [this](const std::string& uid) { return id_of(endpoints_, uid); }),
+          [this](const std::string& uid) { return id_of(endpoints_, uid); },
+          handover_state.connection ? StartedBeside::predecessor : StartedBeside::nobody),
       recorder_(metrics_, endpoints_, flow_exporter_.get()),
       core_(make_core()),
       fronts_({.config = config_, .router_lifecycle = lifecycle_, .names = names_, .metrics = metrics_}),
@@ -49,6 +50,7 @@
                  .peers = peers_,
                  .core = *core_,
                  .affinity_table = durable_state_.affinity_table(),
+                 .durable_state = durable_state_,
                  .fronts = fronts_,
                  .drain_watcher = drain_watcher_},
                 {.open_cluster = [this] { open_cluster(); },
@@ -233,7 +235,8 @@
 std::string Node::metrics() const {
   return metrics_.text({.in_flight = core_->open_requests(),
                         .replicas = endpoints_.listed_count(),
-                        .ejected_replicas = core_->ejected().size()});
+                        .ejected_replicas = core_->ejected().size(),
+                        .store_open = durable_state_.store_is_open()});
 }
 
 void Node::print_counters(std::ostream& out) const {
--- a/src/persistence/quota_state_store.cpp
+++ b/src/persistence/quota_state_store.cpp
@@ -10,7 +10,8 @@
 
 }  // namespace
 
-QuotaStateStore::LoadedCounts QuotaStateStore::load(budgets::Accounts& accounts) {
+QuotaStateStore::LoadedCounts QuotaStateStore::load(budgets::Accounts& accounts, Time wall_time,
+                                                    LoadScope scope) {
   LoadedCounts counts;
   file_.each(kQuotaTable, [&](std::string_view key, std::string_view bytes) {
     const auto state = decode_limit(bytes);
@@ -18,7 +19,8 @@
       ++counts.unreadable;
       return;
     }
-    accounts.restore(std::string(key), *state);
+    if (scope == LoadScope::unknown_accounts && accounts.knows(std::string(key))) return;
+    accounts.merge({std::string(key), *state}, wall_time);
     ++counts.accounts;
   });
   return counts;
--- a/src/persistence/quota_state_store.hpp
+++ b/src/persistence/quota_state_store.hpp
@@ -11,6 +11,9 @@
 
 namespace thornwick::persistence {
 
+// Which accounts are loaded: all, or those that have neither been used nor reported by another process.
+enum class LoadScope { all, unknown_accounts };
+
 class QuotaStateStore final : public budgets::Journal {
  public:
   // A file that has state_tables(), and its writer. Neither is owned; both must outlive this.
@@ -22,8 +25,8 @@
     std::size_t unreadable = 0;  // records skipped because they cannot be decoded
   };
 
-  // Restores all stored accounts. Call it before the first request. Throws store::StoreError.
-  LoadedCounts load(budgets::Accounts& accounts);
+  // Restores the stored accounts, and adds to them what was used here before. Throws store::StoreError.
+  LoadedCounts load(budgets::Accounts& accounts, Time wall_time, LoadScope scope = LoadScope::all);
 
   // Records an account's state. Returns the number that durable() reaches once it is on disk; 0 if it was not
   // accepted, because the writer has no room or the key is empty or too long.
--- a/src/persistence/state_store.hpp
+++ b/src/persistence/state_store.hpp
@@ -26,6 +26,9 @@
   // restore_affinity_table(). Throws store::StoreError.
   RestoredCounts load(affinity::AffinityTable& affinity_table, Time now, const ReplicaIdLookup& id_of = {});
 
+  // Becomes the journal of a table that is in use, without loading anything into it.
+  void record(affinity::AffinityTable& affinity_table) { affinity_table.set_journal(this); }
+
   // Each returns false if the writer has no room; the table offers the change again later.
   bool save_session(std::uint64_t key, const affinity::Session& session) override;
   bool save_prefix(std::uint64_t key, const affinity::Prefix& prefix) override;
--- a/tests/net/models.cpp
+++ b/tests/net/models.cpp
@@ -295,6 +295,7 @@
   };
   budgets::Options options;
   options.members = {"acme"};
+  options.block_fraction = 0.5;  // larger than the request, so that it need not wait for the journal
   options.budgets = {{.name = "day", .rule = {budgets::LimitKind::day, 100'000, 0}}};
   const Time now = net::now_us();
   const auto charge_and_get_remaining = [&] {
@@ -302,7 +303,7 @@
                                         [](ReplicaId) { return std::string(); });
     persistence::QuotaStateStore journal(state_store.file(), state_store.writer());
     budgets::Accounts accounts(options, &journal);
-    journal.load(accounts);
+    journal.load(accounts, now);
     const auto quota_status = accounts.quota_status({0, 0, 0}, now).remaining;
     accounts.settle(accounts.reserve({0, 0, 0}, 30'000, now).id, 30'000, now);
     CHECK(accounts.persist_all(now));
--- a/tests/net/router_processes.hpp
+++ b/tests/net/router_processes.hpp
@@ -80,7 +80,8 @@
 
 // A router with an admin endpoint, and the ports that the router has logged.
 struct ServingRouter {
-  ServingRouter(const std::string& config, const std::string& folder) : program(config, "text", folder) {
+  ServingRouter(const std::string& config, const std::string& folder, const std::string& operator_file = {})
+      : program(config, "text", folder, {}, operator_file) {
     front = port_in(program.wait_for_line("platform front on"));
     admin_endpoint = port_in(program.wait_for_line("admin endpoint on"));
     REQUIRE(program.wait_for_line("n1 serves on") != "");
