--- a/src/budgets/durability_mark.hpp
+++ b/src/budgets/durability_mark.hpp
@@ -1,8 +1,10 @@
 // Limits how far the grants of an account run ahead of its durable journal record.
 //
-// The newest journal record of an account, its mark, states two blocks more usage than there is. At most one
-// block is granted beyond the newest durable mark. So after a kill at any moment at most one block of a limit
-// is granted twice, and up to two blocks are lost until the limit refills.
+// The newest journal record of an account, its mark, states more usage than there is: by a block, and by
+// another block or the largest amount that was asked for. At most one block is granted beyond the newest
+// durable mark, whatever the size of one request; a larger request waits for a mark that covers it. So after
+// a kill at any moment at most one block of a limit is granted twice, and what the mark was ahead is lost
+// until the limit refills.
 #pragma once
 
 #include <cstdint>
@@ -21,12 +23,12 @@
   // `restored`: the account's state when the router started, which is also what a later start would restore.
   explicit DurabilityMark(const Limit& restored) : durable_mark_(restored) {}
 
-  // Whether `amount` may be granted from `current` now: at most one block (or a single larger amount) may lie
-  // beyond the newest durable mark.
+  // Whether `amount` may be granted from `current` now: at most one block may lie beyond the newest durable
+  // mark. Later marks are far enough ahead for such an amount.
   [[nodiscard]] bool covers(Limit& current, Units amount, Units block_units, const Journal& journal,
                             Time wall_time);
-  // Appends the next mark if less than one block remains before the durable mark and no other mark is
-  // pending.
+  // Appends the next mark if less than one block, or the largest amount, remains before the durable mark and
+  // no other mark is pending.
   void advance(const std::string& key, Limit& current, Units block_units, Journal& journal, Time wall_time);
   // Called after the account's limit was given another rule.
   void change_rule(const LimitRule& rule, Time wall_time);
@@ -38,6 +40,7 @@
   };
   void promote_durable_mark(const Journal& journal);
 
+  Units largest_amount_ = 0;                 // that was asked for
   Limit durable_mark_;                       // the newest mark that is known to be durable
   std::optional<PendingMark> pending_mark_;  // a mark that the journal accepted and that is not durable yet
 };
--- a/tests/budgets/limits.cpp
+++ b/tests/budgets/limits.cpp
@@ -285,6 +285,55 @@
   });
 }
 
+// Guards against a kill that forgets a request larger than a block, which was granted ahead of the journal.
+TEST_CASE(
+    "after a kill at most one block is granted twice, also if single requests are larger than a block") {
+  Units granted_large = 0;
+  holds("kills", [&] {
+    Options options = with_budget(per_minute(1000));
+    options.block_fraction = 0.02;
+    const Units limit = 1'000'000, block = 20'000;
+    SlowJournal journal;
+    auto accounts = std::make_unique<Accounts>(options, &journal);
+    Units granted = 0, kills = 0;
+    for (int step = 0; step < 300; ++step) {
+      if (*rc::gen::inRange(0, 3) == 0) journal.write(*rc::gen::inRange<std::size_t>(0, 4));
+      if (*rc::gen::inRange(0, 60) == 0) {  // a kill loses the records that were not written
+        ++kills;
+        journal.pending.clear();
+        journal.appended = journal.written;
+        accounts = std::make_unique<Accounts>(options, &journal);
+        for (const auto& [key, state] : journal.disk) accounts->restore(key, state);
+      }
+      const Grant grant = accounts->reserve({}, *rc::gen::inRange<Units>(1'000, 400'000), kStart);
+      if (grant.id == 0) continue;
+      const Units used = accounts->reserved(grant.id);
+      accounts->settle(grant.id, used, kStart);
+      granted += used;
+      granted_large += used > block ? used : 0;
+      RC_ASSERT(granted <= limit + kills * block);
+    }
+  });
+  CHECK(granted_large > 100 * 20'000);
+}
+
+TEST_CASE(
+    "a request larger than a block is granted once the journal has a mark that covers it, and the next too") {
+  SlowJournal journal;
+  Options options = with_budget(per_minute(1000));
+  options.block_fraction = 0.02;
+  Accounts accounts(options, &journal);
+  for (int i = 0; i < 3; ++i) {
+    const Grant first_try = accounts.reserve({}, 300'000, kStart);
+    CHECK((i > 0 || first_try.denial->awaiting_store));
+    journal.write(100);
+    const Grant grant = first_try.id != 0 ? first_try : accounts.reserve({}, 300'000, kStart);
+    REQUIRE(grant.id != 0);
+    accounts.settle(grant.id, 300'000, kStart);
+    journal.write(100);
+  }
+}
+
 TEST_CASE("a planned stop preserves accounts exactly") {
   SlowJournal journal;
   Options options = with_budget(per_minute(1000));
--- a/tests/models/final_answers.cpp
+++ b/tests/models/final_answers.cpp
@@ -90,8 +90,9 @@
       denied_by == DeniedBy::shared_account ? budgets::kSharedAccount : budgets::kSeparateAccounts;
   LaggingJournal journal;
   LaggingQuotaStore quota_store(1, 1);
-  Simulation simulation(drawn, catalogue, budgets_of({budget(kind, tokens, member)}),
-                        denied_by == DeniedBy::journal ? &journal : nullptr, 1);
+  budgets::Options limits = budgets_of({budget(kind, tokens, member)});
+  limits.block_fraction = 0.1;  // a block covers the first attempt, and not a second one after its charge
+  Simulation simulation(drawn, catalogue, limits, denied_by == DeniedBy::journal ? &journal : nullptr, 1);
   if (denied_by == DeniedBy::quota_store) simulation.quota_store = &quota_store;
   simulation.faults = {.reset = 1000};
   simulation.add_replica("l-1", "L"), simulation.add_replica("l-2", "L");
@@ -139,8 +140,9 @@
     LaggingQuotaStore quota_store(*rc::gen::inRange(1, 10), *rc::gen::inRange(1, 10));
     const int counted_by = *rc::gen::inRange(0, 3);
     const auto seed = static_cast<std::uint64_t>(*rc::gen::inRange(1, 1'000'000));
-    Simulation simulation(drawn, catalogue, budgets_of({budget(kind, tokens, member)}),
-                          counted_by == 1 ? &journal : nullptr, seed);
+    budgets::Options limits = budgets_of({budget(kind, tokens, member)});
+    limits.block_fraction = *rc::gen::element(0.02, 0.1, 1.0);
+    Simulation simulation(drawn, catalogue, limits, counted_by == 1 ? &journal : nullptr, seed);
     if (counted_by == 2) simulation.quota_store = &quota_store;
     if (*rc::gen::arbitrary<bool>()) simulation.fair_share_options = budgets::FairShareOptions{};
     simulation.slow_start = *rc::gen::arbitrary<bool>();
@@ -153,7 +155,7 @@
     simulation.faults.unwritten = 300;
     simulation.reset_after = milliseconds(*rc::gen::element(0, 50, 900, 2500, 4500));
     simulation.start();
-    for (int i = 0; i < 800; ++i) {
+    for (int i = 0; i < 1500; ++i) {
       Request drawn_request = request(static_cast<ModelId>(1 + i % 2));
       drawn_request.priority_class = static_cast<std::uint8_t>(simulation.draw(2));
       drawn_request.tenant = static_cast<std::uint16_t>(simulation.draw(3));
