Store: records that cannot be read after the file was opened do not end the process

Callers would have seen: a router ends in the middle of its work, or does not start, because of a damaged record in its store, although it serves without a store that cannot be opened.

Ruled out: the affinity table (read inside a try), the ledgers of a group (Cluster catches the error), the writer (its thread catches it).

Change: both reads are caught; the store is closed again, what refers to it first, and the router goes on without it. DurableState takes the function that opens the store, so that a test can damage a record behind the verification.

Measured: with the reads where they were, both tests of tests/net/durable_state.cpp fail with "a record does not match its checksum"; with the change they pass.

--- a/src/node/durable_state.cpp
+++ b/src/node/durable_state.cpp
@@ -24,9 +24,20 @@
 
 }  // namespace
 
+std::unique_ptr<persistence::StateStore> open_state_store(
+    const store::FileOptions& file, const store::WriterOptions& writer,
+    const persistence::StateStore::ReplicaUidLookup& uid_of) {
+  return std::make_unique<persistence::StateStore>(file, writer, uid_of);
+}
+
 DurableState::DurableState(const config::Config& config, ReplicaUidLookup uid_of,
-                           persistence::ReplicaIdLookup id_of, StartedBeside started_beside)
-    : config_(config), uid_of_(std::move(uid_of)), id_of_(std::move(id_of)), affinity_log_(uid_of_) {
+                           persistence::ReplicaIdLookup id_of, StartedBeside started_beside,
+                           StateStoreOpener open_state_store)
+    : config_(config),
+      uid_of_(std::move(uid_of)),
+      id_of_(std::move(id_of)),
+      open_state_store_(std::move(open_state_store)),
+      affinity_log_(uid_of_) {
   if (config.operator_file.affinity.enabled)
     affinity_table_ = std::make_unique<affinity::AffinityTable>(affinity_options(config), &affinity_log_);
   const bool alone = started_beside == StartedBeside::nobody;
@@ -50,7 +61,6 @@
     if (affinity_table_) load_affinity_table();
     schedule_store_flush();
   } catch (const store::StoreError& error) {
-    state_store_.reset();
     if (error.kind != store::ErrorKind::held) return give_up_store(error.what());
     logging::warning("store") << "waiting for the store: " << error.what();
     wait_for_store(store_retry_interval_);
@@ -64,6 +74,7 @@
 void DurableState::retry_store() {
   try {
     state_store_ = make_state_store();
+    on_store_opened();
   } catch (const store::StoreError& error) {
     if (error.kind != store::ErrorKind::held) return give_up_store(error.what());
     const bool grants = quota_journal_->state() == budgets::JournalState::absent;
@@ -72,16 +83,25 @@
     store_retry_interval_ = kSlowStoreRetryInterval;
     return wait_for_store(store_retry_interval_);
   }
-  on_store_opened();
 }
 
 void DurableState::give_up_store(const std::string& problem) {
+  close_store();
   quota_journal_->set_until_open(budgets::JournalState::absent);
   logging::error("store") << "state is not persisted: " << problem;
 }
 
+// Closes a store that may be open in part: everything that refers to the store is detached first.
+void DurableState::close_store() {
+  flush_timer_.stop();
+  if (affinity_table_) affinity_table_->set_journal(nullptr);
+  quota_journal_->close();
+  quota_state_store_.reset();
+  state_store_.reset();
+}
+
 // The router has served without the store, so what it has learned and counted is newer than the file, but for
-// the accounts of a predecessor that did not report them.
+// the accounts of a predecessor that did not report them. Throws store::StoreError.
 void DurableState::on_store_opened() {
   logging::info("store") << "opened " << config_.operator_file.store.file << " after another process";
   if (affinity_table_) state_store_->record(*affinity_table_);
@@ -114,9 +134,9 @@
   options.max_gathered_records =
       std::max<std::size_t>(options.max_gathered_records, 2 * file.max_undurable_changes);
   options.max_gathered_bytes = config_.limits.memory_mb * 1024 * 1024 / kStoreMemoryDivisor / kStoreBatches;
-  auto state_store = std::make_unique<persistence::StateStore>(
-      store::FileOptions{.path = file.file, .holder = config_.name, .megabytes = file.max_megabytes}, options,
-      [this](ReplicaId replica) { return uid_of_(replica); });
+  auto state_store =
+      open_state_store_({.path = file.file, .holder = config_.name, .megabytes = file.max_megabytes}, options,
+                        [this](ReplicaId replica) { return uid_of_(replica); });
   if (!state_store->file().set_aside().empty()) {
     logging::error("store") << file.file << " is damaged: moved to " << state_store->file().set_aside()
                             << ", starting with an empty file";
@@ -170,7 +190,12 @@
       log_charge(charge, config_, uid_of_(charge.replica));
     };
   }
-  if (quota_state_store_) load_accounts();
+  if (!quota_state_store_) return;
+  try {
+    load_accounts();
+  } catch (const store::StoreError& error) {
+    give_up_store(error.what());
+  }
 }
 
 // Opens the proxy of replicated accounts, or the store of this router's accounts. Without either, accounts
@@ -185,6 +210,7 @@
   }
 }
 
+// Throws store::StoreError.
 void DurableState::load_accounts() {
   // What the predecessor has reported is newer than the file.
   const auto scope =
--- a/src/node/durable_state.hpp
+++ b/src/node/durable_state.hpp
@@ -24,13 +24,23 @@
 // Whether another process of this router serves when this one starts.
 enum class StartedBeside { nobody, predecessor };
 
+// Opens the store's file. Throws store::StoreError.
+using StateStoreOpener = std::function<std::unique_ptr<persistence::StateStore>(
+    const store::FileOptions&, const store::WriterOptions&,
+    const persistence::StateStore::ReplicaUidLookup&)>;
+// The opener of a router: opens the file that the options name, or creates it.
+std::unique_ptr<persistence::StateStore> open_state_store(
+    const store::FileOptions& file, const store::WriterOptions& writer,
+    const persistence::StateStore::ReplicaUidLookup& uid_of);
+
 class DurableState {
  public:
   // Opens the store and loads its contents. If another process holds the store's file, opens it later; if it
-  // cannot be opened for another reason, an error is logged and the router serves without a store. `config`
-  // is not owned, must outlive this object, and may change. Throws BadConfig.
+  // cannot be opened or read for another reason, now or later, an error is logged and the router serves
+  // without a store. `config` is not owned, must outlive this object, and may change. Throws BadConfig.
   DurableState(const config::Config& config, ReplicaUidLookup uid_of, persistence::ReplicaIdLookup id_of,
-               StartedBeside started_beside = StartedBeside::nobody);
+               StartedBeside started_beside = StartedBeside::nobody,
+               StateStoreOpener open_state_store = node::open_state_store);
 
   // The predecessor reports its accounts, so that they need not be read from the store.
   void on_accounts_shared() { accounts_shared_ = true; }
@@ -67,6 +77,7 @@
   void wait_for_store(Time interval);
   void retry_store();
   void give_up_store(const std::string& problem);
+  void close_store();
   void on_store_opened();
   std::unique_ptr<persistence::StateStore> make_state_store();
   void load_affinity_table();
@@ -82,6 +93,7 @@
   const config::Config& config_;
   ReplicaUidLookup uid_of_;
   persistence::ReplicaIdLookup id_of_;
+  StateStoreOpener open_state_store_;
   AffinityLog affinity_log_;
   // Members are destroyed in reverse order, so that members that refer to the store are destroyed before the
   // store.
--- a/src/persistence/deferred_quota_journal.hpp
+++ b/src/persistence/deferred_quota_journal.hpp
@@ -16,6 +16,8 @@
   void set_until_open(budgets::JournalState state) { until_open_ = state; }
   // Passes everything on to `journal` from now on. It is not owned.
   void open(budgets::Journal& journal) { journal_ = &journal; }
+  // Records nothing any more; the state is as before open().
+  void close() { journal_ = nullptr; }
 
   std::uint64_t append(const std::string& key, const budgets::LimitState& state) override {
     return journal_ == nullptr ? 0 : journal_->append(key, state);
