Discovery: an older list of an agent takes effect within the grace, and only whole

Callers would have seen: an agent that was restarted has an older list than its router. What it has counts as known, but the router went on with its own list for rules.askWithin (10 s), also to a replica that the agent has as draining.

A shared server's older list was applied at once all along.

Ruled out: overtaken answers still change nothing, since calls that began before the answered one are dropped and one older list alone is not applied.

Change: older_list_delay is an eighth of the deadline (core/discovery_waits). After an older answer the whole list is requested, since the agent does not know what has changed since a revision that it does not have; an older delta is never applied.

The scenario "an endpoint list that discovery pushes is watched ..." expects the whole list to be requested after an older one; its other steps are as before.

--- a/src/core/discovery_waits.cpp
+++ b/src/core/discovery_waits.cpp
@@ -70,6 +70,7 @@
   waits.rejected = {rejected, rejected};
   waits.answer = share;
   waits.min_call_spacing = silence;
+  waits.older_list_delay = share;
   waits.outage_repeat = repeat;
   waits.lost_calls = 1;
   return waits;
--- a/src/core/discovery_waits.hpp
+++ b/src/core/discovery_waits.hpp
@@ -20,6 +20,9 @@
 //     the call after it gets no answer, or half of one                                2/8  unanswered
 //     the call after that is answered                                                 1/8  answer
 //
+// An agent that has an older list than the router, because it was restarted, takes as long: its first answer
+// comes after at most 5/8, the one after the next is at least `older_list_delay` (1/8) later and is applied.
+//
 // At the end of an outage, the answer may take 6/8 of the deadline, because calls overlap and none is given
 // up before it is that old.
 //
@@ -90,6 +93,9 @@
   // `min_call_spacing` after the beginning of the answered call.
   Time pause_after_answer = 0;
   Time min_call_spacing = 0;
+  // A list that is older than the one in use is applied only after nothing but older lists has come for this
+  // long, because a single one may be an answer that was overtaken. Not used for a shared server.
+  Time older_list_delay = 0;
   // The longest time between the beginnings of two calls during an outage: an agent is silent, and a shared
   // server rejects calls; a small group may also find a server silent.
   Time outage_repeat = 0;
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -36,7 +36,10 @@
   call_at(schedule_.first_call_time(now_us()));
 }
 
-void DiscoveryClient::call() { send_request(has_revision_ ? Scope::changes : Scope::full_list); }
+// If the agent has an older list than this router, it does not know what has changed since this router's one.
+void DiscoveryClient::call() {
+  send_request(has_revision_ && stale_since_ == 0 ? Scope::changes : Scope::full_list);
+}
 
 void DiscoveryClient::call_at(Time when) {
   next_call_.start(when - now_us(), [this] { call(); });
@@ -216,8 +219,8 @@
   return has_revision_ ? std::optional(revision_) : std::nullopt;
 }
 
-// Discovery may send a very old list after a restart. The list in use stays until discovery has sent only
-// older lists for `stale_list_delay`.
+// An agent may have an older list after a restart, and what it has counts as known. Such a list is applied as
+// soon as it cannot be an overtaken answer, and only whole.
 bool DiscoveryClient::is_stale(simdjson::dom::element list) {
   const auto revision = read_revision(list);
   const bool older = options_.schedule.uses_local_agent && has_revision_ && revision && *revision < revision_;
@@ -227,7 +230,9 @@
   }
   ++counters_.stale_lists;
   if (stale_since_ == 0) stale_since_ = now_us();
-  return now_us() - stale_since_ < options_.stale_list_delay;
+  if (!is_full_list(list) || now_us() - stale_since_ < schedule_.waits().older_list_delay) return true;
+  stale_since_ = 0;
+  return false;
 }
 
 }  // namespace thornwick::net
--- a/src/net/discovery_client.hpp
+++ b/src/net/discovery_client.hpp
@@ -36,9 +36,6 @@
     std::string address;
     core::DiscoverySchedule::Options schedule;  // times at which discovery is called
     std::uint64_t seed = 0;                     // of the schedule's jitter
-    // A list that is older than the list in use is applied only after discovery has sent only older lists for
-    // this time.
-    Time stale_list_delay = 0;
   };
   struct Callbacks {
     // Gets each new list, a JSON object, after the client has noted the list's revision.
--- a/src/net/endpoint_table.cpp
+++ b/src/net/endpoint_table.cpp
@@ -35,10 +35,7 @@
 EndpointTable::EndpointTable(Options options, OnUpdate on_update)
     : names_{.zones = std::move(options.zones), .kinds = std::move(options.kinds)},
       on_update_(std::move(on_update)),
-      client_({.address = std::move(options.address),
-               .schedule = options.schedule,
-               .seed = options.seed,
-               .stale_list_delay = options.stale_list_delay},
+      client_({.address = std::move(options.address), .schedule = options.schedule, .seed = options.seed},
               {.on_list = [this](simdjson::dom::element list) { apply_list(list, Source::discovery); },
                .on_failure = [this] { on_update_(EndpointUpdate::failed, {}); }},
               counters_) {}
--- a/src/net/endpoint_table.hpp
+++ b/src/net/endpoint_table.hpp
@@ -46,9 +46,6 @@
     // Times at which discovery is called. The intervals of the routing policy have no effect here.
     core::DiscoverySchedule::Options schedule;
     std::uint64_t seed = 0;  // of the schedule's jitter
-    // A list that is older than the list in use is applied only after discovery has sent only older lists for
-    // this time.
-    Time stale_list_delay = seconds(10);
   };
   // Is called with the changed entries after the table has changed, and without entries after a call has
   // failed.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -85,7 +85,6 @@
   options.schedule.routers = settings.group_size;
   options.schedule.uses_local_agent = !settings.discovery_by_polling;
   options.seed = settings.seed;
-  options.stale_list_delay = settings.max_poll_interval;
   return options;
 }
 
--- a/tests/incidents/agent_drains.cpp
+++ b/tests/incidents/agent_drains.cpp
@@ -27,12 +27,13 @@
 constexpr Time kRequestInterval = milliseconds(25);
 constexpr Time kObservationTime = seconds(2);
 constexpr Time kTimeout = seconds(10);
+constexpr std::uint64_t kFirstRevision = 5;
 
 // A router as a process, its agent, and two replicas, of which one is going to drain.
 class RouterWithAgent {
  public:
   RouterWithAgent() {
-    agent.publish(1, entries("SERVING"));
+    agent.publish(kFirstRevision, entries("SERVING"));
     const std::string config = scratch_.path("config.json");
     std::ofstream(config) << testing::write_router_config({.discovery = agent.address(),
                                                            .known = entries("SERVING"),
@@ -51,9 +52,10 @@
     REQUIRE(run_until([&] { return agent.subscriptions() == 0; }, kTimeout));
     REQUIRE(run_until([&] { return agent.subscriptions() > 0; }, kTimeout));
   }
-  // The agent has the drain. Sends requests until no request may reach the replica for some time.
-  void check_drain_is_respected() {
-    agent.publish(2, entries("DRAINING"));
+  // The agent has the drain, in this revision of its list. Sends requests until no request may reach the
+  // replica for some time.
+  void check_drain_is_respected(std::uint64_t revision = kFirstRevision + 1) {
+    agent.publish(revision, entries("DRAINING"));
     const Time drained_at = net::now_us();
     while (net::now_us() < drained_at + kForbiddenAfter + kObservationTime) {
       send_request();
@@ -126,3 +128,11 @@
   recovery.start(milliseconds(10), [&] { router.agent.set_behaviour(Behaviour::answers); });
   router.check_drain_is_respected();
 }
+
+// The list in use was kept for 10 s, whatever the grace.
+TEST_CASE("a drain is respected within the grace if the agent was restarted with an older list") {
+  RouterWithAgent router;
+  router.start();
+  router.wait_for_next_watch();
+  router.check_drain_is_respected(kFirstRevision - 1);
+}
--- a/tests/net/deployments.cpp
+++ b/tests/net/deployments.cpp
@@ -16,15 +16,16 @@
     list expect GET /registry/instances?after=2&wait_ms=1000 HTTP/1.1\r\n
     client1 send $ask(r1)
     attempt1 expect r1
-    # An answer in pieces with an older revision, an error, and no answer: the last list stays in use.
+    # An answer in pieces with an older revision, an error, and no answer: the last list stays in use. After the
+    # older one, the whole list is requested.
     list send HTTP/1.1 200 OK\r\nContent-Le
     list send ngth: 37\r\n\r\n{"rev":1,"all":true,
     list send "targets":[    ]}
-    list2 expect GET /registry/instances?after=2&wait_ms=0 HTTP/1.1\r\n
+    list2 expect GET /registry/instances HTTP/1.1\r\n
     router expect list_old=1
     list2 send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
-    list3 expect GET /registry/instances?after=2&wait_ms=0 HTTP/1.1\r\n
-    list4 expect GET /registry/instances?after=2&wait_ms=0 HTTP/1.1\r\n
+    list3 expect GET /registry/instances HTTP/1.1\r\n
+    list4 expect GET /registry/instances HTTP/1.1\r\n
     list4 send $json({"rev":3,"all":false,"targets":[{"uid":"s-02","state":"DELETED"}]})
     list4 expect after=3
     router expect list_failures=3
