Discovery: a list that ends with its connection takes effect like any other

Cause: DiscoveryConnection::on_ended took each end of a connection during a call for a broken call.

Ruled out: the schedule (the next call came at once); connections to replicas already ask the reader.

Change: such an answer is complete. One that was cut is no JSON object, and the call has failed.

Measured: the new test fails on the program before at the call after the first such list.

--- a/src/net/discovery_connection.cpp
+++ b/src/net/discovery_connection.cpp
@@ -58,9 +58,12 @@
   stream_.write(std::move(request_));
 }
 
+// An answer without a length or chunks ends with its connection. If it was cut, its list is no JSON object.
 void DiscoveryConnection::on_ended() {
-  if (call_in_progress_) return fail({.kind = CallFailureKind::connection_broken});
-  close();
+  if (!call_in_progress_) return close();
+  if (!reader_.complete_at_end_of_connection()) return fail({.kind = CallFailureKind::connection_broken});
+  stream_.close();
+  on_complete_answer();
 }
 
 void DiscoveryConnection::on_bytes(std::string_view bytes) {
--- a/tests/net/endpoint_lists.cpp
+++ b/tests/net/endpoint_lists.cpp
@@ -172,6 +172,27 @@
   )");
 }
 
+// HTTP/1.1 allows an answer without a length or chunks; each such list was taken for a broken call.
+TEST_CASE("a list that ends with its connection takes effect, unless it is cut") {
+  ScenarioRunner runner;
+  runner.run(R"(
+    list expect GET /registry/instances?after=1&wait_ms=0 
+    list send HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"rev":2,"all":false,"targets":[]}
+    list close
+    list2 expect GET /registry/instances?after=2&wait_ms=2500 
+    list2 send HTTP/1.1 200 OK\r\n\r\n{"rev":3,"all":true,"targ
+    list2 close
+    router expect list_failures=1
+    list3 expect GET /registry/instances?after=2&wait_ms=0 
+    list3 send HTTP/1.1 200 OK\r\n\r\n{"rev":3,"all":false,"targets":[{"uid":"s-01","state":"DRAINING"}]}
+    list3 close
+    list4 expect GET /registry/instances?after=3&wait_ms=2500 
+    client1 send $ask(r1,300)
+    client1 expect HTTP/1.1 503 
+    router expect attempts=0
+  )");
+}
+
 TEST_CASE(
     "a new address of discovery is called for its full list at once, and answers of the old address are "
     "ignored") {
