Streams: a comment before the first event does not begin the client's answer

Cause: RequestManager::attempt_event passed comments on before the answer had begun, while the attempt counted as one of which nothing was passed on.

Ruled out: comments between and after events; the emulator's replicas have none.

Measured: both new tests fail on the program before (the failed attempt's comment at the client; 200 OK in front of a 503) and pass now.

--- a/src/core/active_request.hpp
+++ b/src/core/active_request.hpp
@@ -1,8 +1,10 @@
 // The state of a request between its admission and its final answer. Only the RequestManager uses it.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 #include "affinity/affinity_table.hpp"
 #include "core/events.hpp"
@@ -36,10 +38,21 @@
   return state;
 }
 
+// Bounds of what is kept of the comments before a stream's first event.
+constexpr std::size_t kMaxLeadingComments = 8;
+constexpr std::size_t kMaxLeadingCommentBytes = 1024;  // of one comment
+
 // A request that has no final answer yet.
 struct ActiveRequest {
   bool attempt_in_flight() const { return attempt_state != AttemptState::none; }
   bool answer_started() const { return has_started(attempt_state); }
+  // Keeps a comment that came before the attempt's first event. It must not begin the answer: if the attempt
+  // fails before that event, another one may follow, or an answer without a stream. Comments that do not fit
+  // are dropped.
+  void hold_comment(const StreamEvent& comment) {
+    const bool fits = comment.raw_frame.size() <= kMaxLeadingCommentBytes;
+    if (fits && leading_comments.size() < kMaxLeadingComments) leading_comments.push_back(comment);
+  }
 
   Reply* reply = nullptr;  // not owned; valid until the final call
   IncomingRequest incoming_request;
@@ -55,6 +68,9 @@
   Time attempt_sent_at = 0;
   TimerQueue::Handle attempt_timer;
 
+  // Comments of the current attempt before its first event, which are passed on with that event.
+  std::vector<StreamEvent> leading_comments;
+
   std::uint8_t next_attempt_number = 0;  // attempts that were not launched are numbered too
   AttemptHistory attempts;               // those that were launched
   // The time point from which the current attempt must not be sent any more, because of earlier attempts that
--- a/src/core/request_manager.cpp
+++ b/src/core/request_manager.cpp
@@ -126,6 +126,7 @@
   ActiveRequest* request = find_current(attempt);
   if (request == nullptr) return;
   const bool answer_had_started = request->answer_started();
+  if (event.kind == EventKind::comment && !answer_had_started) return request->hold_comment(event);
   // Nothing was passed on to the client, so the attempt has failed and another one may follow.
   if (event.kind == EventKind::error && !answer_had_started) return attempt_ended(attempt, Outcome::error);
   if (event.kind == EventKind::usage || event.has_usage) {
@@ -136,12 +137,16 @@
   request->answer_characters += static_cast<double>(event.final_text.size());
   request->attempt_state = state_after(request->attempt_state, event.kind);
   if (!answer_had_started && request->answer_started()) begin_answer(*request);
-  ++request->summary.events;
-  request->summary.bytes += event.raw_frame.size();
-  request->reply->send_event(event);
+  forward_event(*request, event);
   apply_actions();
 }
 
+void RequestManager::forward_event(ActiveRequest& request, const StreamEvent& event) {
+  ++request.summary.events;
+  request.summary.bytes += event.raw_frame.size();
+  request.reply->send_event(event);
+}
+
 // Called with the first event that is passed on. No other attempt is made after it.
 void RequestManager::begin_answer(ActiveRequest& request) {
   const Time started = now();
@@ -154,6 +159,8 @@
   decider_->on_first_token(started, request.attempt.request_id, request.attempt.number, request.replica,
                            started - request.attempt_sent_at);
   request.reply->begin_answer(request.model, request.allowance.get());
+  for (const StreamEvent& comment : std::exchange(request.leading_comments, {}))
+    forward_event(request, comment);
 }
 
 void RequestManager::attempt_ended(AttemptId attempt, Outcome outcome, std::span<const float> report) {
@@ -319,6 +326,7 @@
   const Time until = action.time > 0 ? std::min(sent + action.time, due) : due;
   request.attempt = attempt;
   request.attempt_state = AttemptState::awaiting_first_event;
+  request.leading_comments.clear();
   request.replica = action.replica;
   request.model = action.model;
   request.allowance = action.allowance;
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -107,6 +107,7 @@
   const ClassSettings& class_of(std::uint8_t priority_class) const;
   const ClassSettings& class_of(const ActiveRequest& request) const;
 
+  void forward_event(ActiveRequest& request, const StreamEvent& event);
   void begin_answer(ActiveRequest& request);
   void learn_cache_use(const ActiveRequest& request);
   void report_result(ActiveRequest& request, Outcome outcome, RequestProgress progress,
--- a/tests/net/replica_answers.cpp
+++ b/tests/net/replica_answers.cpp
@@ -66,6 +66,35 @@
   )");
 }
 
+// Guards against a second head inside a chunked body: the first one went out with the comment.
+TEST_CASE("a comment before the first event does not begin the client's answer") {
+  ScenarioRunner runner({.replicas = 2});
+  runner.run(R"(
+    client1 send $ask(r1)
+    attempt1 send $stream$chunk(: lost\n\n)
+    attempt1 reset
+    attempt2 send $stream$chunk(: kept\n\n)$delta(one)$done
+    client1 expect HTTP/1.1 200 OK\r\n
+    client1 expect : kept\n\n
+    client1 expect $delta(one)
+    client1 expect \r\n0\r\n\r\n
+    router expect served=1
+  )");
+  CHECK(runner.received("client1").find("lost") == std::string::npos);
+}
+
+TEST_CASE("a stream that ends after a comment alone brings one answer without a stream") {
+  ScenarioRunner runner;
+  runner.run(R"(
+    client1 send $ask(r1,400)
+    attempt1 send $stream$chunk(: lost\n\n)
+    attempt1 reset
+    client1 expect HTTP/1.1 50
+    router expect served=0
+  )");
+  CHECK(runner.received("client1").find("200 OK") == std::string::npos);
+}
+
 TEST_CASE(
     "an answer that is malformed after its first event closes the client's connection without the last "
     "chunk") {
